sim: close a crashed port outside its lock; test: a time limit for each process spec

Cause: crash and stop held the port's lock while http.Server.Close waited for Serve, and Serve waited for the lock in ConnContext. TestCrashWhileOpening hung for its 20 s before and passes in 0.5 s now. Each process spec ends after 2 min.

--- a/sim/port.go
+++ b/sim/port.go
@@ -90,24 +90,26 @@
 
 func (p *port) stop() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.server != nil {
-		p.close()
+	server, listener := p.server, p.listener
+	p.mu.Unlock()
+	if server != nil {
+		closeServer(server, listener)
 	}
 }
 
-// close ends the server; the caller holds mu. Its listener is closed apart, because a server that
-// has not begun to serve doesn't know it yet.
-func (p *port) close() {
-	_ = p.listener.Close()
-	_ = p.server.Close()
+// closeServer ends a server. Close waits for Serve, which may be in opened and
+// wait for mu, so the caller must not hold mu. The listener is closed apart,
+// because a server that has not begun to serve doesn't know it yet.
+func closeServer(server *http.Server, listener net.Listener) {
+	_ = listener.Close()
+	_ = server.Close()
 }
 
 // crash resets all connections, stops listening and comes back after a while.
 func (p *port) crash(after time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.down {
+		p.mu.Unlock()
 		return
 	}
 	p.down = true
@@ -116,7 +118,9 @@
 			_ = t.SetLinger(0)
 		}
 	}
-	p.close()
+	server, listener := p.server, p.listener
+	p.mu.Unlock()
+	closeServer(server, listener)
 	go p.comeBack(after)
 }
 
--- a/test/failure_test.go
+++ b/test/failure_test.go
@@ -16,6 +16,9 @@
 	"waxwingwall/sim"
 )
 
+// specTimeout ends a spec that hangs well before go test would end all of them.
+const specTimeout = 2 * time.Minute
+
 const (
 	routers = 3
 	ample   = waxwingwall.Tokens(1_000_000)
@@ -36,7 +39,7 @@
 }
 
 var _ = Describe("a router", func() {
-	It("is killed with streams open, and callers ask the others", func() {
+	It("is killed with streams open, and callers ask the others", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 12
 		l := f.startLoad("kill", n, 100)
@@ -45,9 +48,9 @@
 		l.wait()
 		Expect(f.wholes("kill-draft")).To(Equal(n))
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("is paused, taken over, and goes on without harm", func() {
+	It("is paused, taken over, and goes on without harm", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 12
 		l := f.startLoad("pause", n, 100)
@@ -60,9 +63,9 @@
 		f.startLoad("after", n, 20).wait()
 		Expect(f.wholes("after-draft")).To(Equal(n))
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("drains under load, cuts nothing and exits with 0", func() {
+	It("drains under load, cuts nothing and exits with 0", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 12
 		working := f.askOnce("drain", n, f.routers[0])
@@ -71,11 +74,11 @@
 		working.Wait()
 		Eventually(f.routers[0].session, 40*time.Second).Should(gexec.Exit(0))
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 })
 
 var _ = Describe("a fleet", func() {
-	It("has all its routers replaced, one after the other, and cuts nothing", func() {
+	It("has all its routers replaced, one after the other, and cuts nothing", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		stop := f.trickle("roll")
 		for _, r := range f.routers {
@@ -88,9 +91,9 @@
 		Expect(asked).To(BeNumerically(">", 0))
 		Expect(f.wholes("roll")).To(Equal(asked))
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("is stopped as a whole under load, and cuts nothing", func() {
+	It("is stopped as a whole under load, and cuts nothing", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 9
 		working := f.askOnce("stop", n)
@@ -103,9 +106,9 @@
 			Eventually(r.session, 40*time.Second).Should(gexec.Exit(0))
 		}
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("goes on through an outage of the platform", func() {
+	It("goes on through an outage of the platform", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 8
 		f.awaitBalanced()
@@ -119,9 +122,9 @@
 		f.heal("platform")
 		f.startLoad("after", n, 20).wait()
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("spends no more than the budget when answers of the platform are lost", func() {
+	It("spends no more than the budget when answers of the platform are lost", func(_ SpecContext) {
 		f := newFleet(routers, 30_000)
 		f.inject(sim.Fault{
 			Target:      "platform",
@@ -132,9 +135,9 @@
 		f.heal("platform")
 		f.startLoad("healed", 5, 20).wait()
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("goes on over new connections when the open ones are silent", func() {
+	It("goes on over new connections when the open ones are silent", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 6
 		f.startLoad("before", n, 20).wait()
@@ -149,9 +152,9 @@
 		l.wait()
 		Expect(f.wholes("silent-draft")).To(Equal(n))
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 
-	It("stops a request that crashes its engines, and serves the others", func() {
+	It("stops a request that crashes its engines, and serves the others", func(_ SpecContext) {
 		f := newFleet(routers, ample)
 		const n = 6
 		l := f.startLoad("beside", n, 100)
@@ -170,7 +173,7 @@
 		Expect(crashes).To(BeNumerically("<=", maxCrashes), "engines crashed by one request, asked again and again")
 		Expect(f.wholes("beside-draft")).To(Equal(n))
 		f.check()
-	})
+	}, SpecTimeout(specTimeout))
 })
 
 // askOnce asks n model requests, each at one router and once, and expects whole
