--- /dev/null
+++ b/cmd/waxwingwall/edge.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"waxwingwall/relay"
+	"waxwingwall/settings"
+)
+
+// memoryShare is the part of the VM's memory, in percent, that the garbage
+// collector is told to stay below.
+const memoryShare = 60
+
+// edgeCommand runs a router on the users' platform, which tells it where its
+// settings are.
+type edgeCommand struct {
+	Config string `long:"config" env:"WAXWINGWALL_CONFIG" required:"true" description:"file with the settings of this process"`
+}
+
+// Execute implements flags.Commander. SIGHUP reads the settings again; the first
+// SIGTERM begins a graceful stop, the second ends the process at once.
+func (c *edgeCommand) Execute([]string) error {
+	s, err := settings.LoadEdge(c.Config)
+	if err != nil {
+		return usageError{
+			err: err,
+		}
+	}
+	log, err := newLog(s.Log)
+	if err != nil {
+		return err
+	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(s.Memory / 100 * memoryShare)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	log = log.WithField("vm", s.VM)
+	r, stop, err := relay.New(s, relay.WithLog(log))
+	if err != nil {
+		return err
+	}
+	defer stop()
+	log.WithField("callers", s.Callers.String()).Info("started")
+	draining := false
+	for {
+		select {
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGHUP:
+				c.reload(r)
+			case draining:
+				return nil
+			default:
+				draining = true
+				log.WithField("signal", sig.String()).Info("stopping")
+				r.Drain()
+			}
+		case <-r.Drained():
+			log.Info("stopped")
+			return nil
+		}
+	}
+}
+
+// reload reads the settings again; what is at fault leaves the old ones.
+func (c *edgeCommand) reload(r *relay.Relay) {
+	s, err := settings.LoadEdge(c.Config)
+	if err != nil {
+		r.Log().WithError(err).Error("settings_refused")
+		return
+	}
+	r.Reload(s)
+}
--- a/cmd/waxwingwall/main.go
+++ b/cmd/waxwingwall/main.go
@@ -1,6 +1,7 @@
 // Command waxwingwall is the router daemon.
 //
 //	waxwingwall run --config FILE     run a router
+//	waxwingwall edge                  run a router on the users' platform
 //	waxwingwall check --config FILE   check its settings
 //	waxwingwall demo                  a whole small fleet in one process
 //	waxwingwall version
@@ -47,6 +48,11 @@
 
 func commands() []command {
 	return []command{
+		{
+			name:  "edge",
+			short: "Run a router that passes requests through, until it is told to stop",
+			run:   &edgeCommand{},
+		},
 		{
 			name:  "run",
 			short: "Run a router until it is told to stop",
--- /dev/null
+++ b/core/edge/dump.go
@@ -0,0 +1,91 @@
+package edge
+
+import (
+	"time"
+
+	"waxwingwall"
+	"waxwingwall/core/escrow"
+	"waxwingwall/core/member"
+)
+
+// EndpointState is an endpoint in a dump.
+type EndpointState struct {
+	// Replica is what the store says.
+	Replica waxwingwall.Replica `json:"replica"`
+
+	// Running counts this router's requests, Others those of its peers.
+	Running int `json:"running"`
+	Others  int `json:"others"`
+
+	// Faults is the decaying part of runs that failed, Pace how much longer
+	// first answers take than expected.
+	Faults float64 `json:"faults"`
+	Pace   float64 `json:"pace"`
+
+	// Avoid is how much longer it gets no work while others can.
+	Avoid time.Duration `json:"avoid"`
+
+	// Returns is set while its entry has time to return.
+	Returns bool `json:"returns"`
+}
+
+// State is a dump of an Edge.
+type State struct {
+	// Self is the incarnation; Registered is set once its row is there.
+	Self       waxwingwall.Incarnation `json:"self"`
+	Registered bool                    `json:"registered"`
+
+	// Version is that of the configuration in force.
+	Version int64 `json:"version"`
+
+	// StoreLost is set while the store can't be read.
+	StoreLost bool `json:"store_lost"`
+
+	// Requests counts those that have not ended.
+	Requests int `json:"requests"`
+
+	// Endpoints are in the order of their names.
+	Endpoints []EndpointState `json:"endpoints"`
+
+	// Peers are the other routers.
+	Peers []member.Peer `json:"peers"`
+
+	// Budgets are the shares held here.
+	Budgets []escrow.Balance `json:"budgets"`
+
+	// Draining is set once a graceful stop has begun.
+	Draining bool `json:"draining"`
+}
+
+// Dump returns the whole state for people.
+func (e *Edge) Dump(now time.Time) State {
+	s := State{
+		Self:       e.Self,
+		Registered: e.nodes.registered,
+		Version:    e.rules.version,
+		StoreLost:  e.endpoints.lost,
+		Requests:   len(e.requests),
+		Peers:      e.view.Peers(now),
+		Draining:   !e.drain.IsZero(),
+	}
+	for _, service := range e.rules.configuration.Services {
+		for _, row := range e.endpoints.byService[service.Name] {
+			s.Endpoints = append(s.Endpoints, EndpointState{
+				Replica: row.replica,
+				Running: row.running,
+				Others:  row.others.running,
+				Faults:  row.faults,
+				Pace:    row.pace,
+				Avoid:   max(row.avoid.Sub(now), 0),
+				Returns: !row.dropped.IsZero(),
+			})
+		}
+	}
+	for i := range e.rules.configuration.Accounts {
+		a := &e.rules.configuration.Accounts[i]
+		if a.Metered {
+			s.Budgets = append(s.Budgets, e.book.Balance(waxwingwall.Budget(a.Name)))
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/core/edge/node.go
@@ -0,0 +1,499 @@
+package edge
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingwall"
+	"waxwingwall/core/effect"
+	"waxwingwall/core/escrow"
+	"waxwingwall/core/member"
+)
+
+const (
+	// NodeTable is the table of the rows that name the routers.
+	NodeTable = "node"
+
+	// Shards is how many share rows a router spreads its budgets over.
+	Shards = 4
+
+	// shareLead is how long a share should last without the table.
+	shareLead = 8 * time.Second
+
+	// deadGrace is how long a router has to be judged dead before its shares
+	// are closed; each further candidate waits closeTurn longer.
+	deadGrace = 500 * time.Millisecond
+	closeTurn = 700 * time.Millisecond
+
+	// strangerGrace is how long a router that is only listed has to be heard.
+	strangerGrace = 3 * time.Second
+
+	// touchEvery is how often a router that misses another shows in its row that
+	// it is alive; touchFresh is how long that is believed.
+	touchEvery = time.Second
+	touchFresh = 2500 * time.Millisecond
+
+	// registerTimeout is when a registration without an answer is tried again.
+	registerTimeout = 2 * time.Second
+)
+
+// nodeRow is the content of the row that names a router.
+type nodeRow struct {
+	// Peers and Callers are where it listens.
+	Peers   netip.AddrPort `json:"peers"`
+	Callers netip.AddrPort `json:"callers"`
+
+	// Domain is its failure domain.
+	Domain waxwingwall.Domain `json:"domain"`
+
+	// Touch counts up while it misses another router.
+	Touch int `json:"touch,omitempty"`
+}
+
+// node is a router as its row names it.
+type node struct {
+	row     nodeRow
+	version int64
+
+	// seen is when the row was first seen, moved when it last changed.
+	seen  time.Time
+	moved time.Time
+
+	// missed is since when the router has been judged dead; zero if it isn't.
+	missed time.Time
+}
+
+// nodes is the directory of routers.
+type nodes struct {
+	rows map[waxwingwall.Incarnation]*node
+
+	// known is set once the table was read, lost while it can't be.
+	known, lost bool
+
+	// registered is set once the own row is there; call is the write under way.
+	registered bool
+	call       uint64
+	called     time.Time
+	version    int64
+	touch      int
+	touched    time.Time
+}
+
+// closing closes the shares of a router that is gone.
+type closing struct {
+	closer *escrow.Closer
+	done   bool
+}
+
+func (t *nodes) init() {
+	t.rows = map[waxwingwall.Incarnation]*node{}
+}
+
+// Part is the name under which the IDs of this package are routed.
+const Part = "edge"
+
+// NodeKey returns the key of the row that names an incarnation.
+func NodeKey(i waxwingwall.Incarnation) string {
+	return NodeTable + "/" + i.String()
+}
+
+// Partition returns the partition of a row: a budget and the share rows that
+// hold it have one in common.
+func Partition(key string) string {
+	table, rest, _ := strings.Cut(key, "/")
+	switch table {
+	case "budget":
+		return strconv.Itoa(escrow.ShardOf(waxwingwall.Budget(rest), Shards))
+	case "share":
+		return rest[strings.LastIndexByte(rest, '/')+1:]
+	}
+	return ""
+}
+
+// Partitions returns all partitions of shares.
+func Partitions() []string {
+	var all []string
+	for i := range Shards {
+		all = append(all, strconv.Itoa(i))
+	}
+	return all
+}
+
+// nodesSeen takes in what the store says of routers.
+func (e *Edge) nodesSeen(ev Nodes) {
+	t := &e.nodes
+	if ev.Lost {
+		t.lost = true
+		return
+	}
+	t.lost = false
+	if ev.Whole {
+		t.known = true
+		listed := map[waxwingwall.Incarnation]bool{}
+		for _, row := range ev.Rows {
+			if i, ok := incarnationOf(row.Key); ok {
+				listed[i] = true
+			}
+		}
+		for i := range t.rows {
+			if !listed[i] {
+				delete(t.rows, i)
+			}
+		}
+	}
+	for _, row := range ev.Rows {
+		e.nodeSeen(row)
+	}
+	e.listPeers()
+	e.outlive()
+}
+
+// nodeSeen takes in one row.
+func (e *Edge) nodeSeen(row waxwingwall.Row) {
+	t := &e.nodes
+	i, ok := incarnationOf(row.Key)
+	if !ok {
+		return
+	}
+	if row.Version == 0 {
+		delete(t.rows, i)
+		return
+	}
+	var content nodeRow
+	if err := json.Unmarshal([]byte(row.Value), &content); err != nil {
+		e.note("node_unreadable", "", field("node", i.String()), field("version", row.Version), field("cause", err.Error()))
+		return
+	}
+	n := t.rows[i]
+	if n == nil {
+		n = &node{
+			seen: e.now,
+		}
+		t.rows[i] = n
+	}
+	if n.version != row.Version {
+		n.moved = e.now
+	}
+	n.row = content
+	n.version = row.Version
+}
+
+// incarnationOf reads the key of a node row.
+func incarnationOf(key string) (waxwingwall.Incarnation, bool) {
+	name, found := strings.CutPrefix(key, NodeTable+"/")
+	if !found {
+		return waxwingwall.Incarnation{}, false
+	}
+	i, err := waxwingwall.ParseIncarnation(name)
+	return i, err == nil
+}
+
+// listPeers gives the view the routers that are named, as candidates.
+func (e *Edge) listPeers() {
+	var members []waxwingwall.Member
+	for _, i := range e.incarnations() {
+		if i.VM == e.Self.VM {
+			continue
+		}
+		n := e.nodes.rows[i]
+		e.do(Peer{
+			VM:      i.VM,
+			Address: n.row.Peers,
+		})
+		members = append(members, waxwingwall.Member{
+			VM:      i.VM,
+			Address: n.row.Peers,
+			Domain:  n.row.Domain,
+		})
+	}
+	e.absorb(e.view.Step(e.now, member.Listed{
+		Members: members,
+	}))
+}
+
+// incarnations returns those that have a row, the newest of a VM last.
+func (e *Edge) incarnations() []waxwingwall.Incarnation {
+	all := make([]waxwingwall.Incarnation, 0, len(e.nodes.rows))
+	for i := range e.nodes.rows {
+		all = append(all, i)
+	}
+	slices.SortFunc(all, func(a, b waxwingwall.Incarnation) int {
+		if a.VM != b.VM {
+			return strings.Compare(string(a.VM), string(b.VM))
+		}
+		return int(a.Boot - b.Boot)
+	})
+	return all
+}
+
+// outlive makes sure that this incarnation is the newest of its VM.
+func (e *Edge) outlive() {
+	newest := e.Self.Boot
+	for i := range e.nodes.rows {
+		if i.VM == e.Self.VM {
+			newest = max(newest, i.Boot)
+		}
+	}
+	if newest > e.Self.Boot {
+		e.renewAs(newest+1, "an earlier life had a later clock")
+	}
+}
+
+// renew goes on as a new incarnation.
+func (e *Edge) renew(reason string) {
+	e.renewAs(e.Self.Boot+1, reason)
+}
+
+func (e *Edge) renewAs(boot int64, reason string) {
+	before := e.Self
+	for _, r := range e.requests {
+		// What the old book reserved is covered by its allowance, which whoever
+		// closed it counts as spent.
+		r.reserved = 0
+	}
+	e.begin(waxwingwall.Incarnation{
+		VM:   before.VM,
+		Boot: boot,
+	})
+	e.note("incarnation_renewed", "", field("before", before.String()), field("self", e.Self.String()), field("reason", reason))
+	e.do(Registered{
+		Self: e.Self,
+	})
+	e.listPeers()
+	for _, r := range e.requests {
+		if r.waiting {
+			r.waiting = false
+			e.refuse(r, e.unavailable("budget_out_of_reach", "the shares of this router were closed", backSoon))
+		}
+	}
+}
+
+// register writes the own row, and shows in it that this router lives while it
+// misses others.
+func (e *Edge) register() {
+	t := &e.nodes
+	if t.call != 0 && e.now.Sub(t.called) >= registerTimeout {
+		t.call = 0
+	}
+	missing := false
+	for _, p := range e.view.Peers(e.now) {
+		missing = missing || !p.Alive || p.Suspect
+	}
+	touch := t.registered && missing && e.now.Sub(t.touched) >= touchEvery
+	if t.call != 0 || e.leaving() || t.registered && !touch {
+		return
+	}
+	if touch {
+		t.touch++
+	}
+	t.touched = e.now
+	e.writeNode()
+}
+
+// writeNode writes the own row.
+func (e *Edge) writeNode() {
+	t := &e.nodes
+	text, err := json.Marshal(nodeRow{
+		Peers:   e.place.Peers,
+		Callers: e.place.Callers,
+		Domain:  e.place.Domain,
+		Touch:   t.touch,
+	})
+	if err != nil {
+		panic(err) // The row holds nothing that JSON refuses.
+	}
+	e.calls++
+	t.call = e.calls
+	t.called = e.now
+	e.do(effect.Transact{
+		ID: effect.ID{
+			Part: Part,
+			N:    t.call,
+		},
+		Writes: []waxwingwall.Write{{
+			Key:    NodeKey(e.Self),
+			Expect: waxwingwall.AnyVersion,
+			Value:  string(text),
+		}},
+	})
+}
+
+// registering takes in the result of a write of the own row.
+func (e *Edge) registering(ev effect.Transacted) {
+	t := &e.nodes
+	if ev.ID.Part != Part || ev.ID.N != t.call {
+		return
+	}
+	t.call = 0
+	if ev.Result != effect.Done {
+		return
+	}
+	if !t.registered {
+		t.registered = true
+		e.note("registered", "", field("self", e.Self.String()), field("version", ev.Versions[0]))
+	}
+	t.version = ev.Versions[0]
+}
+
+// peersChanged takes in that the view of the others has changed.
+func (e *Edge) peersChanged() {
+	var alive []waxwingwall.Incarnation
+	for _, p := range e.view.Peers(e.now) {
+		e.do(Peer{
+			VM:      p.Incarnation.VM,
+			Address: p.Address,
+		})
+		if p.Alive {
+			alive = append(alive, p.Incarnation)
+		}
+		e.notePeer(p)
+	}
+	e.book.SetPeers(alive)
+}
+
+// notePeer logs a change of what is believed of a peer.
+func (e *Edge) notePeer(p member.Peer) {
+	n := e.nodes.rows[p.Incarnation]
+	if n == nil {
+		return
+	}
+	switch {
+	case p.Alive && !n.missed.IsZero():
+		n.missed = time.Time{}
+		e.note("peer_alive", "", field("peer", p.Incarnation.String()))
+	case !p.Alive && n.missed.IsZero():
+		n.missed = e.now
+		e.note("peer_dead", "", field("peer", p.Incarnation.String()))
+	}
+}
+
+// closeDead begins to close what routers that are gone left behind.
+func (e *Edge) closeDead() {
+	if !e.nodes.known || e.nodes.lost || e.leaving() {
+		return
+	}
+	peers := e.view.Peers(e.now)
+	for _, i := range e.incarnations() {
+		if i == e.Self || e.isClosing(i) || e.now.Sub(e.nodes.rows[i].moved) < e.closeAfter(i, peers) {
+			continue
+		}
+		if !e.isGone(i, peers) {
+			continue
+		}
+		e.note("closing", "", field("node", i.String()))
+		e.closers = append(e.closers, &closing{
+			closer: escrow.NewCloser(
+				i, nil,
+				escrow.WithClosedShards(Shards),
+				escrow.WithCloserSeed(e.seed),
+				escrow.WithCloser(e.Self),
+			),
+		})
+	}
+}
+
+// closeAfter is how long a row must have been still before this router closes
+// its shares: those of earlier lives of its own VM at once, the others after
+// their neighbours in a ring had their turn.
+func (e *Edge) closeAfter(dead waxwingwall.Incarnation, peers []member.Peer) time.Duration {
+	if dead.VM == e.Self.VM {
+		return 0
+	}
+	own := xxhash.Sum64String(dead.String() + string(e.Self.VM))
+	before := 0
+	for _, p := range peers {
+		if p.Alive && xxhash.Sum64String(dead.String()+string(p.Incarnation.VM)) < own {
+			before++
+		}
+	}
+	return touchFresh + time.Duration(before)*closeTurn
+}
+
+// isGone reports whether an incarnation is believed to be gone. It need not be
+// right: closing the shares of a living one costs it its shares, no more.
+func (e *Edge) isGone(i waxwingwall.Incarnation, peers []member.Peer) bool {
+	if i.VM == e.Self.VM {
+		return i.Boot < e.Self.Boot
+	}
+	n := e.nodes.rows[i]
+	for _, p := range peers {
+		switch {
+		case p.Incarnation.VM != i.VM:
+		case p.Incarnation.Boot > i.Boot:
+			return true
+		case p.Incarnation.Boot == i.Boot:
+			return !p.Alive && !n.missed.IsZero() && e.now.Sub(n.missed) >= deadGrace
+		}
+	}
+	return e.now.Sub(n.seen) >= strangerGrace
+}
+
+// isClosing reports whether the shares of an incarnation are being closed here.
+func (e *Edge) isClosing(i waxwingwall.Incarnation) bool {
+	return slices.ContainsFunc(e.closers, func(c *closing) bool { return c.closer.Dead == i })
+}
+
+// stepClosers steps the closers, and drops the rows of those that are done.
+func (e *Edge) stepClosers(ev effect.Event) {
+	var open []*closing
+	for _, c := range e.closers {
+		e.absorb(c.closer.Step(e.now, ev))
+		if c.closer.Done() && !c.done {
+			c.done = true
+			e.note("closed", "", field("node", c.closer.Dead.String()), field("returned", c.closer.Returned))
+			e.dropNode(c.closer.Dead)
+		}
+		if _, listed := e.nodes.rows[c.closer.Dead]; listed || !c.done {
+			open = append(open, c)
+		}
+	}
+	e.closers = open
+}
+
+// dropNode drops the row of a router that is gone. Another may have done so.
+func (e *Edge) dropNode(i waxwingwall.Incarnation) {
+	e.calls++
+	e.do(effect.Transact{
+		ID: effect.ID{
+			Part: Part,
+			N:    e.calls,
+		},
+		Writes: []waxwingwall.Write{{
+			Key:    NodeKey(i),
+			Expect: waxwingwall.AnyVersion,
+			Delete: true,
+		}},
+	})
+}
+
+// fleet is how many routers there are, this one included.
+func (e *Edge) fleet() int {
+	n := 1
+	for _, p := range e.view.Peers(e.now) {
+		if p.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+// Addresses returns where callers may connect: every router that is heard and
+// not about to stop.
+func (e *Edge) Addresses(now time.Time) ([]netip.AddrPort, time.Duration) {
+	var all []netip.AddrPort
+	if e.Ready() {
+		all = append(all, e.place.Callers)
+	}
+	for _, p := range e.view.Peers(now) {
+		if p.Alive && !p.Suspect && p.Reachable && !p.Leaving && p.Callers.IsValid() {
+			all = append(all, p.Callers)
+		}
+	}
+	return all, e.bounds.Lifetime
+}
--- /dev/null
+++ b/core/edge/rules.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingwall"
+	"waxwingwall/core/escrow"
+)
+
+// rules are the configuration in force, indexed.
+type rules struct {
+	// version is that of the configuration; zero before the first.
+	version int64
+
+	configuration waxwingwall.Configuration
+
+	// routes are by host, the longest prefix first.
+	routes map[string][]*waxwingwall.Route
+
+	services map[waxwingwall.Model]*waxwingwall.Service
+	accounts map[string]*waxwingwall.ClientAccount
+}
+
+// newRules indexes a configuration.
+func newRules(c waxwingwall.Configuration) rules {
+	r := rules{
+		version:       c.Version,
+		configuration: c,
+		routes:        map[string][]*waxwingwall.Route{},
+		services:      map[waxwingwall.Model]*waxwingwall.Service{},
+		accounts:      map[string]*waxwingwall.ClientAccount{},
+	}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		r.routes[route.Host] = append(r.routes[route.Host], route)
+	}
+	for _, routes := range r.routes {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].Prefix) > len(routes[j].Prefix)
+		})
+	}
+	for i := range c.Services {
+		r.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			r.accounts[key] = &c.Accounts[i]
+		}
+	}
+	return r
+}
+
+// route returns the route of a path, or nil.
+func (r *rules) route(host, path string) *waxwingwall.Route {
+	if name, _, found := strings.Cut(host, ":"); found && r.routes[host] == nil {
+		host = name
+	}
+	for _, route := range r.routes[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// split chooses one of a route's services. The same request falls to the same
+// one at every router.
+func split(route *waxwingwall.Route, id string) waxwingwall.Model {
+	total := 0
+	for _, s := range route.Services {
+		total += s.Weight
+	}
+	if total <= 0 || len(route.Services) == 1 {
+		return route.Services[0].Service
+	}
+	at := int(xxhash.Sum64String(id) % uint64(total))
+	for _, s := range route.Services {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return route.Services[len(route.Services)-1].Service
+}
+
+// configured puts a configuration in force, unless a newer one is.
+func (e *Edge) configured(c waxwingwall.Configuration, from string) {
+	if c.Version <= e.rules.version {
+		return
+	}
+	before := e.rules.version
+	e.rules = newRules(c)
+	e.fund()
+	e.note("configuration_in_force", "",
+		field("version", c.Version),
+		field("before", before),
+		field("from", from),
+		field("routes", len(c.Routes)),
+		field("accounts", len(c.Accounts)),
+	)
+}
+
+// fund tells the book what was paid into each budget.
+func (e *Edge) fund() {
+	for i := range e.rules.configuration.Accounts {
+		a := &e.rules.configuration.Accounts[i]
+		if a.Metered {
+			e.book.Fund(waxwingwall.Budget(a.Name), escrow.Paid{
+				Version: e.rules.version,
+				Total:   a.Prepaid,
+			})
+		}
+	}
+}
--- a/core/escrow/dump.go
+++ b/core/escrow/dump.go
@@ -64,9 +64,13 @@
 	Spare waxwingwall.Tokens `json:"spare"`
 
 	// PoolKnown tells whether Total and Pool are as last read.
-	PoolKnown bool               `json:"pool_known"`
-	Total     waxwingwall.Tokens `json:"total"`
-	Pool      waxwingwall.Tokens `json:"pool"`
+	PoolKnown bool `json:"pool_known"`
+
+	// PoolVersion is the version of the budget's row as last known.
+	PoolVersion int64 `json:"pool_version"`
+
+	Total waxwingwall.Tokens `json:"total"`
+	Pool  waxwingwall.Tokens `json:"pool"`
 
 	// Rate is the smoothed spend in tokens a second.
 	Rate float64 `json:"rate"`
@@ -134,10 +138,13 @@
 		Free:      e.free(),
 		Spare:     e.spare(),
 		PoolKnown: e.pool.known,
-		Total:     e.pool.row.Total,
-		Pool:      e.pool.row.Pool(),
-		Rate:      e.demand.rate,
-		Waiting:   e.cycle.need,
+
+		PoolVersion: e.pool.version,
+
+		Total:   e.pool.row.Total,
+		Pool:    e.pool.row.Pool(),
+		Rate:    e.demand.rate,
+		Waiting: e.cycle.need,
 	}
 }
 
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -18,14 +18,8 @@
 	// up to as much again is added.
 	retryAfter = time.Second
 
-	// rateWindow is the time constant of the spend rate.
-	rateWindow = time.Minute
-
-	// firstPace is the least time over which the spend rate is judged.
-	firstPace = 5 * time.Second
-
-	// leadRequests is how many requests a share should last for at least.
-	leadRequests = 16
+	// smoothRequests is over how many requests their size is smoothed.
+	smoothRequests = 16
 
 	// firstParts is the part of the worst case, as a divisor, that a request is
 	// expected to use before any has settled.
@@ -61,6 +55,9 @@
 	// partners are the peers with which tokens were exchanged, in order.
 	partners []partner
 
+	// paid is what an outside operator says was paid in.
+	paid Paid
+
 	demand demand
 	pool   pool
 	cycle  cycle
@@ -138,8 +135,7 @@
 	kind  Kind
 	until time.Time
 
-	// bound is more than every request that is refused as exhausted can be
-	// paid with.
+	// bound is more than every request that is refused can be paid with.
 	bound waxwingwall.Tokens
 }
 
@@ -149,7 +145,7 @@
 	if !now.Before(f.until) {
 		return Waiting
 	}
-	if f.kind == Exhausted && worst <= f.bound {
+	if worst <= f.bound {
 		return Waiting
 	}
 	return f.kind
@@ -157,6 +153,8 @@
 
 // demand follows how fast a budget is spent on this node.
 type demand struct {
+	pacing *pacing
+
 	// rate is the spend in tokens a second, smoothed over rateWindow; since is
 	// when it began to be followed.
 	rate  float64
@@ -176,12 +174,12 @@
 		d.since = now
 	}
 	d.decay(now)
-	d.rate += float64(actual) / rateWindow.Seconds()
+	d.rate += float64(actual) / d.pacing.rateWindow.Seconds()
 	if d.used == 0 {
 		d.used = float64(actual)
 	}
-	d.used += (float64(actual) - d.used) / leadRequests
-	d.worst = max(reserved, d.worst-d.worst/leadRequests)
+	d.used += (float64(actual) - d.used) / smoothRequests
+	d.worst = max(reserved, d.worst-d.worst/smoothRequests)
 }
 
 // decay ages the rate to now.
@@ -190,7 +188,7 @@
 		return
 	}
 	if past := now.Sub(d.at); past > 0 {
-		d.rate *= math.Exp(-past.Seconds() / rateWindow.Seconds())
+		d.rate *= math.Exp(-past.Seconds() / d.pacing.rateWindow.Seconds())
 		d.at = now
 	}
 }
@@ -198,8 +196,8 @@
 // pace is the spend in tokens a second. The smoothed rate begins at zero; what
 // it lacks for that is made up for, but for the first seconds.
 func (d *demand) pace(now time.Time) float64 {
-	age := max(now.Sub(d.since), firstPace)
-	return d.rate / (1 - math.Exp(-age.Seconds()/rateWindow.Seconds()))
+	age := max(now.Sub(d.since), d.pacing.firstPace)
+	return d.rate / (1 - math.Exp(-age.Seconds()/d.pacing.rateWindow.Seconds()))
 }
 
 // few returns what the next few requests may use.
@@ -208,7 +206,7 @@
 	if d.since.IsZero() {
 		used = float64(d.worst) / firstParts
 	}
-	return d.worst + waxwingwall.Tokens(leadRequests*used)
+	return d.worst + waxwingwall.Tokens(float64(d.pacing.leadRequests)*used)
 }
 
 // lead returns how many tokens should be at hand for the time given.
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -169,9 +169,12 @@
 
 // Book holds the shares of one incarnation.
 type Book struct {
-	self  waxwingwall.Incarnation
-	seed  uint64
-	lead  time.Duration
+	self waxwingwall.Incarnation
+	seed uint64
+	lead time.Duration
+
+	pacing *pacing
+
 	peers []waxwingwall.Incarnation
 
 	// What the Book holds: entries by budget, and by shard in order.
@@ -198,6 +201,7 @@
 	b := &Book{
 		self:    self,
 		lead:    DefaultLead,
+		pacing:  &broad,
 		entries: map[waxwingwall.Budget]*entry{},
 		shards:  make([]shard, DefaultShards),
 	}
@@ -245,7 +249,7 @@
 		b.counts.OutOfReach++
 		return b.later()
 	}
-	e.wait(now, worst)
+	e.wait(now, worst, b.pacing.patience)
 	b.counts.Waiting++
 	return Verdict{
 		Kind: Waiting,
@@ -295,6 +299,11 @@
 	}
 }
 
+// Draining reports whether a graceful stop has begun.
+func (b *Book) Draining() bool {
+	return b.draining
+}
+
 // Drained reports whether every share is back in the pool, or the Book was
 // fenced.
 func (b *Book) Drained() bool {
@@ -329,7 +338,10 @@
 		row: ShareEntry{
 			Budget: budget,
 		},
-		shard: shardOf(budget, len(b.shards)),
+		shard: ShardOf(budget, len(b.shards)),
+		demand: demand{
+			pacing: b.pacing,
+		},
 	}
 	b.entries[budget] = e
 	b.shards[e.shard].add(e)
--- a/core/escrow/peer.go
+++ b/core/escrow/peer.go
@@ -152,7 +152,7 @@
 		return
 	}
 	p.round = m.Round
-	e.quiet = b.now.Add(patience)
+	e.quiet = b.now.Add(b.pacing.patience)
 	p.owed = min(m.Want, b.available(e, from)+p.owed)
 	p.due = b.now.Add(2 * roundTime)
 	b.payOwed(e)
@@ -331,3 +331,13 @@
 		}
 	}
 }
+
+// Messages returns one of each type that nodes send to each other, for the
+// codec between them.
+func Messages() []any {
+	return []any{
+		AskShare{},
+		PassShare{},
+		TookShare{},
+	}
+}
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -80,7 +80,7 @@
 // registers reports whether this node has to become one of the holders: it has
 // tokens of peers, or is about to ask for them.
 func (b *Book) registers(e *entry) bool {
-	if !e.pool.known || e.pool.version == 0 || isHolder(e.pool.row.Holders, b.self) {
+	if !e.pool.known || !e.exists() || isHolder(e.pool.row.Holders, b.self) {
 		return false
 	}
 	return e.cycle.register || e.received > 0 && e.spare() > 0
@@ -90,7 +90,7 @@
 // first. What is taken beyond that falls with the pool and the number of
 // holders, so that little is held elsewhere when the pool runs dry.
 func (e *entry) draw(now time.Time, self waxwingwall.Incarnation, required, lead waxwingwall.Tokens) waxwingwall.Tokens {
-	if !e.pool.known || e.pool.version == 0 {
+	if !e.pool.known || !e.exists() {
 		return 0
 	}
 	pool := e.pool.row.Pool()
@@ -102,7 +102,7 @@
 		return 0
 	}
 	holders := waxwingwall.Tokens(len(withHolder(e.pool.row.Holders, self)))
-	extra := min(required+2*lead-e.row.Granted-missing, (pool-missing)/(2*holders))
+	extra := min(required+e.demand.pacing.leads*lead-e.row.Granted-missing, (pool-missing)/(2*holders))
 	extra = max(extra, 0)
 	if now.Before(e.quiet) || missing == 0 && now.Before(e.hold) {
 		return missing
@@ -115,7 +115,7 @@
 
 // allowance returns the allowance that goes with a grant.
 func (e *entry) allowance(granted, required, lead waxwingwall.Tokens) waxwingwall.Tokens {
-	want := min(granted, required+2*lead)
+	want := min(granted, required+e.demand.pacing.leads*lead)
 	if want < e.row.Allowance && e.row.Allowance-required <= slackLeads*lead {
 		return min(granted, e.row.Allowance)
 	}
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -18,6 +18,10 @@
 	// Granted is the sum of all shares ever drawn; it never falls.
 	Granted waxwingwall.Tokens `json:"granted"`
 
+	// Paid is the version of what an outside operator said that Total is from;
+	// zero if it is from top-ups.
+	Paid int64 `json:"paid,omitempty"`
+
 	// Returned is the sum of all shares ever given back; it never falls and
 	// never exceeds Granted.
 	Returned waxwingwall.Tokens `json:"returned"`
@@ -156,8 +160,8 @@
 	return r, nil
 }
 
-// shardOf returns the shard of a budget.
-func shardOf(budget waxwingwall.Budget, shards int) int {
+// ShardOf returns the shard of a budget.
+func ShardOf(budget waxwingwall.Budget, shards int) int {
 	return int(xxhash.Sum64String(string(budget)) % uint64(shards))
 }
 
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -23,9 +23,6 @@
 	conflictLast    = 1000 * time.Millisecond
 	fewRivals       = 8
 
-	// drawEvery is the least time between two draws in advance.
-	drawEvery = time.Second
-
 	// maxBudgets is how many budget rows one transaction writes at most.
 	maxBudgets = 8
 )
@@ -175,7 +172,7 @@
 	if e.received > 0 && e.spare() > 0 {
 		return true
 	}
-	return e.pool.version > 0 && !b.now.Before(e.quiet) && e.spare() < e.demand.lead(b.now, b.lead)
+	return e.exists() && !b.now.Before(e.quiet) && e.spare() < e.demand.lead(b.now, b.lead)
 }
 
 // transact writes the share row with the changes given.
@@ -297,7 +294,7 @@
 		e := c.entry
 		if c.row.Granted != e.row.Granted {
 			e.moves++
-			e.hold = b.now.Add(drawEvery + b.jitter(drawEvery))
+			e.hold = b.now.Add(b.pacing.drawEvery + b.jitter(b.pacing.drawEvery))
 		}
 		e.row = c.row
 		if c.budget {
@@ -363,7 +360,7 @@
 		c.entry.pool.known = false
 	}
 	s.changes = nil
-	wait := min(backoffFirst<<min(s.failures, 8), backoffLast)
+	wait := min(backoffFirst<<min(s.failures, 8), b.pacing.backoffLast)
 	s.retry = b.now.Add(wait/2 + b.jitter(wait))
 	s.failures++
 }
@@ -414,7 +411,7 @@
 	e.pool = pool{
 		known:   true,
 		version: row.Version,
-		row:     content,
+		row:     e.fund(content),
 	}
 	e.list()
 }
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -9,9 +9,6 @@
 const (
 	// roundTime is how long a round of questions waits for answers.
 	roundTime = 300 * time.Millisecond
-
-	// strangers is how many peers are asked when the holders are not known.
-	strangers = 3
 )
 
 // cycle is one wait of requests for a budget.
@@ -63,7 +60,7 @@
 }
 
 // wait adds a request to the wait.
-func (e *entry) wait(now time.Time, worst waxwingwall.Tokens) {
+func (e *entry) wait(now time.Time, worst waxwingwall.Tokens, patience time.Duration) {
 	if !e.cycle.open {
 		e.cycle = cycle{
 			open:     true,
@@ -83,7 +80,7 @@
 	if kind != Granted {
 		e.found = finding{
 			kind:  kind,
-			until: b.now.Add(foundLife),
+			until: b.now.Add(b.pacing.foundLife),
 			bound: bound,
 		}
 	}
@@ -121,7 +118,7 @@
 		nodes = b.others(b.peers)
 	}
 	b.rounds++
-	for range min(strangers, len(nodes)) {
+	for range min(b.pacing.strangers, len(nodes)) {
 		b.asked++
 		to := nodes[b.asked%len(nodes)]
 		b.ask(e, to, c.need-e.free(), b.rounds)
@@ -203,6 +200,9 @@
 	case seen.complete && held < c.least && c.last == seen:
 		b.resolve(e, Exhausted, held)
 		return
+	case b.pacing.prompt && seen.complete && held >= c.least:
+		b.resolve(e, OutOfReach, free)
+		return
 	}
 	c.last = seen
 	c.round = 0
--- a/core/member/step.go
+++ b/core/member/step.go
@@ -438,3 +438,14 @@
 	}
 	return d
 }
+
+// Messages returns one of each type that routers send to each other, for the
+// codec between them.
+func Messages() []any {
+	return []any{
+		Heartbeat{},
+		Probe{},
+		Seen{},
+		Sync{},
+	}
+}
--- a/core/messages.go
+++ b/core/messages.go
@@ -11,7 +11,7 @@
 // Messages returns one of each type that nodes send to each other, for the
 // codec between them.
 func Messages() []any {
-	return []any{
+	all := []any{
 		LeavingEndpoints{},
 		claim.Append{},
 		claim.Ack{},
@@ -26,13 +26,8 @@
 		config.Announce{},
 		config.Want{},
 		config.Have{},
-		escrow.AskShare{},
-		escrow.PassShare{},
-		escrow.TookShare{},
-		member.Heartbeat{},
-		member.Probe{},
-		member.Seen{},
-		member.Sync{},
 		sched.Demand{},
 	}
+	all = append(all, escrow.Messages()...)
+	return append(all, member.Messages()...)
 }
--- a/router/links.go
+++ b/io/peer/links.go
@@ -1,4 +1,4 @@
-package router
+package peer
 
 import (
 	"context"
@@ -8,7 +8,6 @@
 	"time"
 
 	"waxwingwall"
-	"waxwingwall/io/peer"
 )
 
 // Limits of a link.
@@ -21,8 +20,9 @@
 	messageTimeout = time.Second
 )
 
-// links is the table of connections to peers, one for each address.
-type links struct {
+// Links is the table of connections to peers, one for each address. Create it
+// with NewLinks.
+type Links struct {
 	ctx     context.Context
 	tls     *tls.Config
 	working *sync.WaitGroup
@@ -34,24 +34,28 @@
 
 // link is the connection to one peer with the messages that wait for it.
 type link struct {
-	client *peer.Client
+	client *Client
 	close  func()
-	queue  chan peer.Envelope
+	queue  chan Envelope
 	cancel context.CancelFunc
 }
 
-func newLinks(ctx context.Context, tc *tls.Config, working *sync.WaitGroup) *links {
-	return &links{
+// NewLinks returns a table without connections and a function that shuts all of
+// them. What goes over them ends with the context; working counts the goroutines
+// that are left.
+func NewLinks(ctx context.Context, tc *tls.Config, working *sync.WaitGroup) (*Links, func()) {
+	l := &Links{
 		ctx:       ctx,
 		tls:       tc,
 		working:   working,
 		addresses: make(map[waxwingwall.VM]netip.AddrPort),
 		rows:      make(map[netip.AddrPort]*link),
 	}
+	return l, l.close
 }
 
-// know records where the router of a VM listens.
-func (l *links) know(vm waxwingwall.VM, addr netip.AddrPort) {
+// Know records where the router of a VM listens.
+func (l *Links) Know(vm waxwingwall.VM, addr netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	old, ok := l.addresses[vm]
@@ -66,7 +70,7 @@
 }
 
 // link returns the link to a VM, or nil if its address is not known.
-func (l *links) link(vm waxwingwall.VM) *link {
+func (l *Links) link(vm waxwingwall.VM) *link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	addr, ok := l.addresses[vm]
@@ -77,11 +81,11 @@
 		return row
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
-	client, shut := peer.New(addr, l.tls)
+	client, shut := New(addr, l.tls)
 	row := &link{
 		client: client,
 		close:  shut,
-		queue:  make(chan peer.Envelope, linkQueue),
+		queue:  make(chan Envelope, linkQueue),
 		cancel: cancel,
 	}
 	l.rows[addr] = row
@@ -93,8 +97,8 @@
 	return row
 }
 
-// home returns the router of a VM as an owner of requests.
-func (l *links) home(vm waxwingwall.VM) (*peer.Client, bool) {
+// Client returns the client of the router of a VM, if its address is known.
+func (l *Links) Client(vm waxwingwall.VM) (*Client, bool) {
 	row := l.link(vm)
 	if row == nil {
 		return nil, false
@@ -102,8 +106,8 @@
 	return row.client, true
 }
 
-// send queues a message, or drops it.
-func (l *links) send(e peer.Envelope) {
+// Send queues a message, or drops it.
+func (l *Links) Send(e Envelope) {
 	row := l.link(e.To.VM)
 	if row == nil {
 		return
@@ -115,7 +119,7 @@
 }
 
 // close shuts all links.
-func (l *links) close() {
+func (l *Links) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, row := range l.rows {
@@ -143,8 +147,8 @@
 }
 
 // deliver passes a message on, with all that wait behind it.
-func (k *link) deliver(ctx context.Context, e peer.Envelope) {
-	batch := []peer.Envelope{e}
+func (k *link) deliver(ctx context.Context, e Envelope) {
+	batch := []Envelope{e}
 	for len(batch) < linkQueue {
 		select {
 		case more := <-k.queue:
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -38,12 +38,16 @@
 	Message any
 }
 
+// Receiver takes messages of peers.
+type Receiver interface {
+	// Receive takes a message. It does not wait.
+	Receive(e Envelope)
+}
+
 // Handler is what a router does for its peers.
 type Handler interface {
 	waxwingwall.Home
-
-	// Receive takes a message. It does not wait.
-	Receive(e Envelope)
+	Receiver
 }
 
 // SubmitArgs asks the receiver to run a request.
@@ -76,20 +80,26 @@
 	Unused bool
 }
 
-// service is the receiver that net/rpc sees. Its methods have the shape that
-// net/rpc asks for.
-type service struct {
-	h   Handler
-	ctx context.Context
+// messages is the receiver that net/rpc sees where only messages are taken. Its
+// methods have the shape that net/rpc asks for.
+type messages struct {
+	r Receiver
 }
 
-func (s *service) Messages(batch []Envelope, _ *Nothing) error {
+func (m *messages) Messages(batch []Envelope, _ *Nothing) error {
 	for _, e := range batch {
-		s.h.Receive(e)
+		m.r.Receive(e)
 	}
 	return nil
 }
 
+// service is the receiver that net/rpc sees where requests are taken as well.
+type service struct {
+	*messages
+	h   Handler
+	ctx context.Context
+}
+
 func (s *service) Submit(a SubmitArgs, r *waxwingwall.Submitted) (err error) {
 	*r, err = s.h.Submit(s.ctx, &a.Request)
 	return err
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -17,13 +17,34 @@
 // connections are plain.
 func Serve(l net.Listener, h Handler, tc *tls.Config) (func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	server := rpc.NewServer()
-	receiver := &service{
+	stop, err := serve(l, &service{
+		messages: &messages{
+			r: h,
+		},
 		h:   h,
 		ctx: ctx,
+	}, tc)
+	if err != nil {
+		cancel()
+		return nil, err
 	}
-	if err := server.RegisterName(serviceName, receiver); err != nil {
+	return func() {
 		cancel()
+		stop()
+	}, nil
+}
+
+// ServeMessages is Serve for a router that takes messages alone.
+func ServeMessages(l net.Listener, r Receiver, tc *tls.Config) (func(), error) {
+	return serve(l, &messages{
+		r: r,
+	}, tc)
+}
+
+// serve answers the calls of net/rpc.
+func serve(l net.Listener, receiver any, tc *tls.Config) (func(), error) {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, receiver); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if tc != nil {
@@ -35,7 +56,6 @@
 	a.done.Add(1)
 	go a.accept(l, server)
 	return func() {
-		cancel()
 		_ = l.Close()
 		a.close()
 		a.done.Wait()
--- /dev/null
+++ b/relay/control.go
@@ -0,0 +1,199 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"waxwingwall"
+	"waxwingwall/core/edge"
+	"waxwingwall/core/effect"
+	"waxwingwall/io/peer"
+	"waxwingwall/io/table"
+	"waxwingwall/platform"
+)
+
+// control is the control goroutine: it takes jobs and ticks, one after the
+// other, until the relay stops.
+func (r *Relay) control() {
+	ticker := time.NewTicker(tickPause)
+	defer ticker.Stop()
+	sweeper := time.NewTicker(sweepPause)
+	defer sweeper.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case j := <-r.inbox:
+			now := time.Now()
+			if j.call != nil {
+				j.call(now)
+				continue
+			}
+			r.step(now, j.event)
+		case <-ticker.C:
+			now := time.Now()
+			r.step(now, effect.Tick{})
+			r.publish(now)
+		case <-sweeper.C:
+			r.origins.Sweep()
+		}
+	}
+}
+
+// post gives control a job; it waits while the inbox is full.
+func (r *Relay) post(j job) {
+	select {
+	case r.inbox <- j:
+	case <-r.ctx.Done():
+	}
+}
+
+// event posts an event.
+func (r *Relay) event(ev effect.Event) {
+	r.post(job{
+		event: ev,
+	})
+}
+
+// step tells the edge of an event and performs what comes out.
+func (r *Relay) step(now time.Time, ev effect.Event) {
+	r.perform(now, r.edge.Step(now, ev))
+}
+
+// publish lets others see what they have to know.
+func (r *Relay) publish(now time.Time) {
+	addresses, lifetime := r.edge.Addresses(now)
+	r.shared.Store(&shared{
+		ready:     r.edge.Ready(),
+		draining:  r.edge.Draining(),
+		limits:    r.edge.Limits(),
+		addresses: addresses,
+		lifetime:  lifetime,
+	})
+}
+
+// perform carries out actions. It never waits.
+func (r *Relay) perform(now time.Time, actions []effect.Action) {
+	for _, a := range actions {
+		r.performOne(now, a)
+	}
+}
+
+func (r *Relay) performOne(now time.Time, a effect.Action) {
+	switch a := a.(type) {
+	case effect.Transact, effect.Read, effect.List:
+		r.goDo(func() { r.onTable(a) })
+	case effect.Send:
+		r.links.Send(peer.Envelope{
+			From:    r.self,
+			To:      a.To,
+			Message: a.Message,
+		})
+	case edge.Peer:
+		r.links.Know(a.VM, a.Address)
+	case edge.Registered:
+		r.self = a.Self
+	case edge.Note:
+		r.note(a)
+	case edge.Drained:
+		r.drainedOnce.Do(func() { close(r.drained) })
+	case edge.Dispatch:
+		r.tell(a.Request, a, false)
+	case edge.Refuse:
+		r.tell(a.Request, a, true)
+	case edge.Deliver:
+		r.tell(a.Request, a, true)
+	case edge.Abort:
+		r.tell(a.Request, a, true)
+	case edge.Finished:
+		r.tell(a.Request, a, true)
+	default:
+		r.log.WithField("action", a).Error("unknown_action")
+	}
+}
+
+// tell gives a passage its next action; the last one ends it.
+func (r *Relay) tell(request uint64, a effect.Action, last bool) {
+	p := r.passages[request]
+	if p == nil {
+		return
+	}
+	p.actions <- a
+	if last {
+		delete(r.passages, request)
+	}
+}
+
+// onTable carries out a call of the store and posts its answer.
+func (r *Relay) onTable(a effect.Action) {
+	began := time.Now()
+	answer := table.Perform(r.ctx, r.store, a)
+	if answer == nil {
+		return
+	}
+	r.metrics.table(answer, time.Since(began))
+	r.event(answer)
+}
+
+// followConfiguration posts each configuration.
+func (r *Relay) followConfiguration() {
+	unreadable := int64(-1)
+	r.store.WatchConfiguration(r.ctx, func(c waxwingwall.Configuration, found bool, err error) {
+		switch {
+		case found:
+			r.event(edge.Configured{
+				Configuration: c,
+			})
+		case err != nil && !errors.Is(err, waxwingwall.ErrUnavailable) && c.Version != unreadable:
+			unreadable = c.Version
+			r.log.WithError(err).WithField("version", c.Version).Error("configuration_unreadable")
+		}
+	})
+}
+
+// followReplicas posts each change of the endpoints.
+func (r *Relay) followReplicas() {
+	r.store.WatchReplicas(r.ctx, func(n platform.ReplicaNews) {
+		for _, err := range n.Unreadable {
+			r.log.WithError(err).WithField("revision", n.Revision).Warning("endpoint_unreadable")
+		}
+		r.event(edge.Replicas{
+			Whole:    n.Whole,
+			Replicas: n.Replicas,
+			Gone:     n.Gone,
+			Revision: n.Revision,
+			Lost:     n.Err != nil,
+		})
+	})
+}
+
+// followNodes posts each change of the routers.
+func (r *Relay) followNodes() {
+	r.store.WatchRows(r.ctx, edge.NodeTable, func(rows []waxwingwall.Row, whole bool, err error) {
+		r.event(edge.Nodes{
+			Whole: whole,
+			Rows:  rows,
+			Lost:  err != nil,
+		})
+	})
+}
+
+// ask runs f in the control goroutine and waits for it.
+func (r *Relay) ask(ctx context.Context, f func(now time.Time)) error {
+	done := make(chan struct{})
+	r.post(job{
+		call: func(now time.Time) {
+			f(now)
+			close(done)
+		},
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.ctx.Done():
+		return r.ctx.Err()
+	}
+}
--- /dev/null
+++ b/relay/passage.go
@@ -0,0 +1,513 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"waxwingwall"
+	"waxwingwall/core/edge"
+	"waxwingwall/core/effect"
+	"waxwingwall/io/origin"
+)
+
+const (
+	// maxHeld bounds the bytes of an answer that are held back until it is
+	// whole.
+	maxHeld = 256 << 10
+
+	// copyBytes is the size of the buffer with which an answer is passed on.
+	copyBytes = 16 << 10
+
+	// writeTimeout bounds how long a caller may take to accept a part of its
+	// answer.
+	writeTimeout = 10 * time.Second
+
+	// bodyShare is the part of the process's memory, as a divisor, that bodies
+	// of requests may take together; bodyLeast is granted in any case.
+	bodyShare = 6
+	bodyLeast = 8 << 20
+
+	// busyRetry is when to come back while there is no memory for a body.
+	busyRetry = 500 * time.Millisecond
+
+	// actionsSize is how many actions may wait for a passage; control never
+	// sends more.
+	actionsSize = 8
+)
+
+// passage is one request on its way through.
+type passage struct {
+	relay   *Relay
+	id      uint64
+	call    waxwingwall.Call
+	body    []byte
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	// actions come from control.
+	actions chan effect.Action
+
+	// held is the answer that was kept back.
+	held *held
+
+	// events is the stream that the caller gets; committed is set once it has
+	// the head of an answer.
+	events    origin.Events
+	committed bool
+}
+
+// held is a whole answer.
+type held struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// pass is the handler of callers' requests.
+func (r *Relay) pass(w http.ResponseWriter, req *http.Request) {
+	s := r.shared.Load()
+	if s.draining {
+		w.Header().Set("Connection", "close")
+	}
+	p := &passage{
+		relay:   r,
+		id:      r.names.Add(1),
+		w:       w,
+		r:       req,
+		arrived: time.Now(),
+		actions: make(chan effect.Action, actionsSize),
+	}
+	if problem := p.read(s.limits); problem != nil {
+		r.log.WithField("request", p.call.ID).WithField("code", problem.Code).
+			WithField("status", problem.Status).WithField("cause", problem.Message).Info("refused")
+		p.refuse(problem)
+		return
+	}
+	defer r.bodies.Add(-int64(len(p.body)))
+	r.post(job{
+		call: func(now time.Time) {
+			r.passages[p.id] = p
+			r.step(now, edge.Arrived{
+				Request: p.id,
+				Call:    p.call,
+			})
+		},
+	})
+	p.run()
+}
+
+// read reads the head and the body of a request.
+func (p *passage) read(limits waxwingwall.CallerLimits) *waxwingwall.Problem {
+	path := p.r.URL.EscapedPath()
+	var err error
+	p.call, err = p.relay.wire.Call(p.r.Host, path, p.r.Header)
+	if err != nil {
+		return problem(http.StatusBadRequest, "bad_request", err.Error())
+	}
+	if limits.HeaderBytes > 0 && headerBytes(p.r) > limits.HeaderBytes {
+		return problem(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "the head is over the limit")
+	}
+	if limits.BodyBytes > 0 && p.r.ContentLength > limits.BodyBytes {
+		return problem(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
+	}
+	if p.relay.bodies.Load() > max(p.relay.settings.Memory/bodyShare, bodyLeast) {
+		return &waxwingwall.Problem{
+			Status:     http.StatusServiceUnavailable,
+			Code:       "busy",
+			Message:    "no memory for the body",
+			Outcome:    waxwingwall.NotRun,
+			RetryAfter: busyRetry,
+		}
+	}
+	return p.readBody(limits)
+}
+
+// readBody reads the body.
+func (p *passage) readBody(limits waxwingwall.CallerLimits) *waxwingwall.Problem {
+	if p.r.ContentLength == 0 {
+		p.fingerprint()
+		return nil
+	}
+	if limits.HeaderTime > 0 {
+		if err := http.NewResponseController(p.w).SetReadDeadline(p.arrived.Add(limits.HeaderTime)); err != nil {
+			p.relay.log.WithError(err).Warning("no_read_deadline")
+		}
+	}
+	reader := io.Reader(p.r.Body)
+	if limits.BodyBytes > 0 {
+		reader = io.LimitReader(reader, limits.BodyBytes+1)
+	}
+	body, err := io.ReadAll(reader)
+	switch {
+	case err != nil && errors.Is(err, context.Canceled):
+		panic(http.ErrAbortHandler)
+	case isTimeout(err):
+		p.w.Header().Set("Connection", "close")
+		return problem(http.StatusRequestTimeout, "body_too_slow", "the body did not arrive in time")
+	case err != nil:
+		return problem(http.StatusBadRequest, "bad_body", "the body could not be read")
+	case limits.BodyBytes > 0 && int64(len(body)) > limits.BodyBytes:
+		return problem(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
+	}
+	if err := http.NewResponseController(p.w).SetReadDeadline(time.Time{}); err != nil {
+		p.relay.log.WithError(err).Warning("no_read_deadline")
+	}
+	p.body = body
+	p.relay.bodies.Add(int64(len(body)))
+	p.fingerprint()
+	return nil
+}
+
+// isTimeout reports whether an error is that of a deadline.
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// fingerprint names what the request is, whoever sends it again.
+func (p *passage) fingerprint() {
+	h := xxhash.New()
+	for _, s := range []string{p.r.Method, p.r.RequestURI, p.call.Key} {
+		_, _ = h.WriteString(s) // A hash takes everything.
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(p.body)
+	p.call.Fingerprint = h.Sum64()
+}
+
+// headerBytes returns the size of a request's head.
+func headerBytes(r *http.Request) int64 {
+	n := int64(len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n"))
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v) + len(": \r\n"))
+		}
+	}
+	return n
+}
+
+// problem returns the answer to a request that is at fault.
+func problem(status int, code, message string) *waxwingwall.Problem {
+	return &waxwingwall.Problem{
+		Status:  status,
+		Code:    code,
+		Message: message,
+		Outcome: waxwingwall.NotRun,
+	}
+}
+
+// run performs the actions for the request until the last one.
+func (p *passage) run() {
+	gone := p.r.Context().Done()
+	for {
+		select {
+		case a := <-p.actions:
+			if p.perform(a) {
+				return
+			}
+		case <-gone:
+			gone = nil
+			p.leave()
+		}
+	}
+}
+
+// leave tells that the caller went away.
+func (p *passage) leave() {
+	p.relay.event(edge.Left{
+		Request: p.id,
+		Events:  p.events.Count,
+	})
+}
+
+// perform performs one action and reports whether it was the last.
+func (p *passage) perform(a effect.Action) bool {
+	switch a := a.(type) {
+	case edge.Dispatch:
+		p.attempt(a)
+		return false
+	case edge.Refuse:
+		p.refuse(a.Problem)
+	case edge.Deliver:
+		p.deliver()
+	case edge.Abort:
+		p.relay.metrics.ended("cut", time.Since(p.arrived))
+		panic(http.ErrAbortHandler)
+	case edge.Finished:
+		p.relay.metrics.ended("served", time.Since(p.arrived))
+	}
+	return true
+}
+
+// refuse answers with a problem.
+func (p *passage) refuse(problem *waxwingwall.Problem) {
+	p.relay.metrics.ended(problem.Code, time.Since(p.arrived))
+	h := p.w.Header()
+	if problem.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(problem.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "application/json")
+	p.w.WriteHeader(problem.Status)
+	// A caller that went away asks again.
+	_ = json.NewEncoder(p.w).Encode(problem)
+}
+
+// deliver answers with what was held back.
+func (p *passage) deliver() {
+	if p.held == nil {
+		panic(http.ErrAbortHandler)
+	}
+	p.relay.metrics.ended("endpoint_failed", time.Since(p.arrived))
+	p.writeHeld()
+}
+
+// writeHeld writes the whole answer that was held back.
+func (p *passage) writeHeld() {
+	copyHeader(p.w.Header(), p.held.header)
+	p.w.Header().Set("Content-Length", strconv.Itoa(len(p.held.body)))
+	p.w.WriteHeader(p.held.status)
+	// A caller that went away asks again.
+	_, _ = p.w.Write(p.held.body)
+}
+
+// attempt runs one attempt and tells how it ended.
+func (p *passage) attempt(d edge.Dispatch) {
+	ctx, cancel := context.WithDeadline(p.r.Context(), d.Until)
+	defer cancel()
+	p.held = nil
+	ended := p.exchange(ctx, d)
+	if p.r.Context().Err() != nil {
+		p.leave()
+		return
+	}
+	if ended.Result != edge.Whole && ended.Result != edge.Failed && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		ended.Result = edge.Late
+	}
+	ended.Request = d.Request
+	ended.Attempt = d.Attempt
+	ended.Committed = p.committed
+	ended.Events = p.events.Count
+	ended.Offset = p.events.Last
+	p.relay.metrics.attempt(ended.Result)
+	p.relay.event(ended)
+}
+
+// exchange sends the request to an endpoint and passes the answer on.
+func (p *passage) exchange(ctx context.Context, d edge.Dispatch) edge.Ended {
+	answer, err := p.relay.origins.Do(ctx, origin.Request{
+		Address: d.Address,
+		Method:  p.r.Method,
+		Target:  p.r.RequestURI,
+		Host:    p.r.Host,
+		Header:  p.relay.wire.Forward(p.r.Header, d.Handover),
+		Body:    p.body,
+		Fresh:   d.Fresh,
+		First:   d.First,
+		Pause:   d.Pause,
+		Match: func(h http.Header) bool {
+			id := p.relay.wire.Reply(0, h).Call
+			return id == "" || id == p.call.ID
+		},
+	})
+	if err != nil {
+		return failed(err)
+	}
+	defer answer.Close()
+	if d.Stream && answer.Status == http.StatusOK && isStream(answer.Header) {
+		return p.stream(d, answer)
+	}
+	return p.whole(d, answer)
+}
+
+// failed tells how an attempt without an answer ended.
+func failed(err error) edge.Ended {
+	result := edge.Broken
+	switch {
+	case errors.Is(err, origin.ErrUnreached):
+		result = edge.Unreached
+	case errors.Is(err, origin.ErrSilent):
+		result = edge.Silent
+	}
+	return edge.Ended{
+		Result: result,
+		Err:    trace.Unwrap(err).Error(),
+	}
+}
+
+// isStream reports whether an answer is a series of events.
+func isStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+// whole reads an answer to its end and passes it on if that decides nothing.
+func (p *passage) whole(d edge.Dispatch, answer *origin.Answer) edge.Ended {
+	reply := p.relay.wire.Reply(answer.Status, answer.Header)
+	body, err := io.ReadAll(io.LimitReader(answer, maxHeld))
+	ended := edge.Ended{
+		Status: answer.Status,
+	}
+	switch {
+	case err != nil:
+		ended = failed(err)
+		ended.Status = answer.Status
+		if reply.NotRun {
+			ended.Result = edge.Declined
+		}
+		return ended
+	case reply.NotRun:
+		ended.Result = edge.Declined
+		return ended
+	case answer.Status < http.StatusMultipleChoices && !reply.Sealed:
+		ended.Result = edge.Broken
+		ended.Err = "answer without a seal"
+		return ended
+	}
+	p.relay.event(edge.Progressed{
+		Request: d.Request,
+		Attempt: d.Attempt,
+	})
+	if len(body) == maxHeld {
+		return p.long(answer, body)
+	}
+	p.held = &held{
+		status: answer.Status,
+		header: answer.Header,
+		body:   body,
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		ended.Result = edge.Failed
+		return ended
+	}
+	p.committed = true
+	p.writeHeld()
+	return ended
+}
+
+// long passes on an answer that is too long to be held back.
+func (p *passage) long(answer *origin.Answer, begun []byte) edge.Ended {
+	p.commit(answer, answer.Length)
+	ended := edge.Ended{
+		Status: answer.Status,
+	}
+	if !p.write(begun) {
+		return ended
+	}
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 && !p.write(buffer[:n]) {
+			return ended
+		}
+		if errors.Is(err, io.EOF) {
+			return ended
+		}
+		if err != nil {
+			return failed(err)
+		}
+	}
+}
+
+// stream passes the events of an answer on as they come, whole ones only, so
+// that the stream can go on from another endpoint.
+func (p *passage) stream(d edge.Dispatch, answer *origin.Answer) edge.Ended {
+	p.events.Break()
+	buffer := make([]byte, copyBytes)
+	began := false
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			if !began {
+				began = true
+				p.relay.event(edge.Progressed{
+					Request: d.Request,
+					Attempt: d.Attempt,
+				})
+			}
+			whole, ok := p.events.Feed(buffer[:n])
+			if !ok {
+				return edge.Ended{
+					Result: edge.Broken,
+					Err:    "event too long",
+				}
+			}
+			if len(whole) > 0 {
+				p.commit(answer, -1)
+				if !p.write(whole) {
+					return edge.Ended{
+						Result: edge.Broken,
+						Err:    "caller gone",
+					}
+				}
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && p.events.Pending():
+			return edge.Ended{
+				Result: edge.Broken,
+				Status: answer.Status,
+				Err:    "ended within an event",
+			}
+		case errors.Is(err, io.EOF):
+			p.commit(answer, -1)
+			return edge.Ended{
+				Status: answer.Status,
+			}
+		case err != nil:
+			ended := failed(err)
+			ended.Status = answer.Status
+			return ended
+		}
+	}
+}
+
+// commit writes the head of the answer, once.
+func (p *passage) commit(answer *origin.Answer, length int64) {
+	if p.committed {
+		return
+	}
+	p.committed = true
+	p.relay.metrics.first(time.Since(p.arrived))
+	copyHeader(p.w.Header(), answer.Header)
+	if length >= 0 {
+		p.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	p.w.WriteHeader(answer.Status)
+}
+
+// write writes and flushes a part of the answer; it reports false if the caller
+// does not take it.
+func (p *passage) write(b []byte) bool {
+	c := http.NewResponseController(p.w)
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return false
+	}
+	if _, err := p.w.Write(b); err != nil {
+		return false
+	}
+	return c.Flush() == nil
+}
+
+// copyHeader copies what is the endpoint's to say: all but what concerns its
+// connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		switch name {
+		case "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Content-Length", "Upgrade", "Te", "Trailer":
+			continue
+		}
+		to[name] = values
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		to["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,320 @@
+// Package relay runs an edge.Edge as a process.
+//
+// One goroutine, control, owns the Edge: it steps it with events and ticks and
+// performs the actions that come out. Goroutines of the HTTP servers carry the
+// traffic: each request is a passage, which posts events to control and gets its
+// actions back over a channel. Others follow the store's tables and carry out
+// calls of the store; what they learn is posted as well.
+//
+// The life of a Relay: New starts everything and returns the clean-up function
+// that ends it at once. Drain begins a graceful stop; Drained is closed when it
+// is over.
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sirupsen/logrus"
+
+	"waxwingwall"
+	"waxwingwall/core/edge"
+	"waxwingwall/core/effect"
+	"waxwingwall/core/escrow"
+	"waxwingwall/core/member"
+	"waxwingwall/io/origin"
+	"waxwingwall/io/peer"
+	"waxwingwall/platform"
+	"waxwingwall/settings"
+)
+
+const (
+	// tickPause is the time between two ticks.
+	tickPause = 50 * time.Millisecond
+
+	// inboxSize is how many events may wait for control.
+	inboxSize = 1024
+
+	// sweepPause is the time between two looks for unused connections.
+	sweepPause = time.Second
+
+	// headerTime bounds how long the head of a request may take, idleTime how
+	// long a connection may be unused. The operators' limits are below them.
+	headerTime = 10 * time.Second
+	idleTime   = 2 * time.Minute
+)
+
+// Relay is a router process. Create it with New.
+type Relay struct {
+	settings settings.Edge
+	log      *logrus.Entry
+	metrics  *metrics
+	store    *platform.Client
+	origins  *origin.Pool
+	links    *peer.Links
+	wire     waxwingwall.Wire
+
+	// edge, self and passages belong to the control goroutine.
+	edge     *edge.Edge
+	self     waxwingwall.Incarnation
+	passages map[uint64]*passage
+
+	// shared is what control lets others see.
+	shared atomic.Pointer[shared]
+
+	// names counts requests; bodies are the bytes of bodies held.
+	names  atomic.Uint64
+	bodies atomic.Int64
+
+	inbox   chan job
+	ctx     context.Context
+	cancel  context.CancelFunc
+	working sync.WaitGroup
+	closers []func()
+
+	drained     chan struct{}
+	drainedOnce sync.Once
+}
+
+// shared is an immutable copy of what traffic goroutines have to know.
+type shared struct {
+	ready     bool
+	draining  bool
+	limits    waxwingwall.CallerLimits
+	addresses []netip.AddrPort
+	lifetime  time.Duration
+}
+
+// job is something for the control goroutine: an event, or a function to call.
+type job struct {
+	event effect.Event
+	call  func(now time.Time)
+}
+
+// Option changes a Relay before it starts.
+type Option func(*Relay)
+
+// WithLog sets the logger.
+func WithLog(l *logrus.Entry) Option {
+	return func(r *Relay) {
+		r.log = l
+	}
+}
+
+// New starts a router process and returns it with a function that ends it at
+// once.
+func New(s settings.Edge, opts ...Option) (*Relay, func(), error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &Relay{
+		settings: s,
+		log:      logrus.NewEntry(logrus.StandardLogger()),
+		wire:     platform.Headers{},
+		passages: map[uint64]*passage{},
+		inbox:    make(chan job, inboxSize),
+		ctx:      ctx,
+		cancel:   cancel,
+		drained:  make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(r)
+	}
+	if err := r.start(); err != nil {
+		r.stop()
+		return nil, nil, err
+	}
+	return r, r.stop, nil
+}
+
+// start makes the parts and their goroutines.
+func (r *Relay) start() error {
+	var err error
+	if r.metrics, err = newMetrics(); err != nil {
+		return trace.Wrap(err)
+	}
+	r.closers = append(r.closers, r.metrics.close)
+	var shut func()
+	r.store, shut = platform.New(r.settings.Store, platform.WithPartitions(edge.Partition, edge.Partitions()))
+	r.closers = append(r.closers, shut)
+	r.origins, shut = origin.New()
+	r.closers = append(r.closers, shut)
+	peer.Register(edge.Messages()...)
+	peer.Register(escrow.Messages()...)
+	peer.Register(member.Messages()...)
+	r.links, shut = peer.NewLinks(r.ctx, nil, &r.working)
+	r.closers = append(r.closers, shut)
+	now := time.Now()
+	r.self = waxwingwall.Incarnation{
+		VM:   r.settings.VM,
+		Boot: now.UnixMilli(),
+	}
+	r.edge = edge.New(
+		r.self,
+		edge.Place{
+			Peers:   r.settings.Peers,
+			Callers: r.settings.Callers,
+			Domain:  r.settings.Domain,
+		},
+		edge.WithSeed(uint64(now.UnixNano())),
+		edge.WithBounds(bounds(r.settings)),
+	)
+	r.publish(now)
+	if err := r.serve(); err != nil {
+		return err
+	}
+	r.goDo(r.control)
+	r.goDo(r.followConfiguration)
+	r.goDo(r.followReplicas)
+	r.goDo(r.followNodes)
+	return nil
+}
+
+// bounds returns the operators' bounds.
+func bounds(s settings.Edge) edge.Bounds {
+	return edge.Bounds{
+		RetryRatio:   s.RetryRatio,
+		RetryReserve: s.RetryReserve,
+		RetryWindow:  s.RetryWindow,
+		Grace:        s.Grace,
+		Lifetime:     s.Lifetime,
+	}
+}
+
+// serve opens the listeners.
+func (r *Relay) serve() error {
+	l, err := net.Listen("tcp", r.settings.Peers.String())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	stop, err := peer.ServeMessages(l, r, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.closers = append(r.closers, stop)
+	servers := []struct {
+		at      netip.AddrPort
+		handler http.Handler
+	}{
+		{
+			at:      r.settings.Callers,
+			handler: http.HandlerFunc(r.pass),
+		},
+		{
+			at:      r.settings.Readiness,
+			handler: platform.Readiness(func() bool { return r.shared.Load().ready }),
+		},
+		{
+			at:      r.settings.Directory,
+			handler: platform.Directory(r.lookup),
+		},
+		{
+			at:      r.settings.Metrics,
+			handler: r.desk(),
+		},
+	}
+	for _, s := range servers {
+		if !s.at.IsValid() {
+			continue
+		}
+		if err := r.listen(s.at, s.handler); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listen serves HTTP at an address.
+func (r *Relay) listen(at netip.AddrPort, h http.Handler) error {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		ErrorLog:          quiet,
+	}
+	r.closers = append(r.closers, func() { _ = server.Close() })
+	r.goDo(func() {
+		if err := server.Serve(l); err != nil && r.ctx.Err() == nil {
+			r.log.WithError(err).WithField("address", at.String()).Error("listener_ended")
+		}
+	})
+	return nil
+}
+
+// lookup tells a caller where to connect.
+func (r *Relay) lookup(platform.Place) ([]netip.AddrPort, time.Duration) {
+	s := r.shared.Load()
+	return s.addresses, s.lifetime
+}
+
+// stop ends the process's parts at once.
+func (r *Relay) stop() {
+	r.cancel()
+	for i := len(r.closers) - 1; i >= 0; i-- {
+		r.closers[i]()
+	}
+	r.working.Wait()
+}
+
+// Drain begins a graceful stop.
+func (r *Relay) Drain() {
+	r.post(job{
+		call: func(now time.Time) {
+			r.perform(now, r.edge.Drain(now))
+			r.publish(now)
+		},
+	})
+}
+
+// Drained is closed once a graceful stop is over.
+func (r *Relay) Drained() <-chan struct{} {
+	return r.drained
+}
+
+// goDo runs f in a goroutine that stop waits for.
+func (r *Relay) goDo(f func()) {
+	r.working.Add(1)
+	go func() {
+		defer r.working.Done()
+		f()
+	}()
+}
+
+// Receive implements peer.Receiver.
+func (r *Relay) Receive(e peer.Envelope) {
+	r.post(job{
+		call: func(now time.Time) {
+			if e.To.VM != r.self.VM || e.To.Boot != 0 && e.To.Boot != r.self.Boot {
+				return
+			}
+			r.step(now, effect.Received{
+				From:    e.From,
+				Message: e.Message,
+			})
+		},
+	})
+}
+
+// Log returns the logger.
+func (r *Relay) Log() *logrus.Entry {
+	return r.log
+}
+
+// Reload puts the bounds of new settings in force. Addresses stay as they were
+// at the start.
+func (r *Relay) Reload(s settings.Edge) {
+	r.post(job{
+		call: func(time.Time) {
+			r.edge.SetBounds(bounds(s))
+			r.log.WithField("grace", s.Grace).WithField("retry_ratio", s.RetryRatio).Info("settings_reloaded")
+		},
+	})
+}
--- a/router/perform.go
+++ b/router/perform.go
@@ -28,7 +28,7 @@
 		boot := r.self.Boot
 		r.goDo(func() { r.onTable(boot, a) })
 	case effect.Send:
-		r.links.send(peer.Envelope{
+		r.links.Send(peer.Envelope{
 			From:    r.self,
 			To:      a.To,
 			Message: a.Message,
@@ -43,7 +43,7 @@
 		r.finish(now, a)
 	case core.Peers:
 		for _, p := range a.Peers {
-			r.links.know(p.Incarnation.VM, p.Address)
+			r.links.Know(p.Incarnation.VM, p.Address)
 		}
 	case core.Configured:
 		r.configured(a)
--- a/router/router.go
+++ b/router/router.go
@@ -71,7 +71,10 @@
 	// snapshot, runs and links are shared with traffic goroutines.
 	snapshot atomic.Pointer[Snapshot]
 	runs     runs
-	links    *links
+	links    *peer.Links
+
+	// closeLinks shuts the links.
+	closeLinks func()
 
 	// inbox feeds the control goroutine; ctx ends with the router.
 	inbox   chan job
@@ -144,7 +147,7 @@
 		return nil, nil, trace.Wrap(err)
 	}
 	peer.Register(core.Messages()...)
-	r.links = newLinks(ctx, r.peerTLS, &r.working)
+	r.links, r.closeLinks = peer.NewLinks(ctx, r.peerTLS, &r.working)
 	now := time.Now()
 	self := waxwingwall.Incarnation{
 		VM:   s.Router.VM,
@@ -161,7 +164,7 @@
 func (r *Router) stop() {
 	r.cancel()
 	r.runs.stopAll(stopping())
-	r.links.close()
+	r.closeLinks()
 	r.working.Wait()
 	r.metrics.close()
 }
@@ -220,7 +223,7 @@
 	if i.VM == r.settings.Router.VM {
 		return r, i.Boot == r.boot.Load()
 	}
-	c, ok := r.links.home(i.VM)
+	c, ok := r.links.Client(i.VM)
 	if !ok {
 		return nil, false
 	}
