escrow: even shares that last for a lead; retiring nodes give theirs back at once

Cause: with lean shares the routers held little, asked only the holders last read, and learned 1.2 s late that the store was away.

--- a/core/edge/drain.go
+++ b/core/edge/drain.go
@@ -22,6 +22,8 @@
 		e.drain = now
 		e.note("drain_begins", "", field("requests", len(e.requests)))
 		e.absorb(e.view.Leave(now))
+		e.book.Retire(now)
+		e.stepBook()
 	}
 	out := e.out
 	e.out = nil
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -164,8 +164,7 @@
 		self,
 		escrow.WithSeed(e.seed),
 		escrow.WithShards(Shards),
-		escrow.WithLead(shareLead),
-		escrow.WithLeanShares(),
+		escrow.WithEvenShares(),
 	)
 	e.view = member.New(
 		self,
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -23,9 +23,6 @@
 	// Shards is how many share rows a router spreads its budgets over.
 	Shards = 4
 
-	// shareLead is how long a share should last without the table.
-	shareLead = 8 * time.Second
-
 	// deadGrace is how long a router has to be judged dead before its shares
 	// are closed; each further candidate waits closeTurn longer.
 	deadGrace = 500 * time.Millisecond
@@ -65,7 +62,8 @@
 	seen  time.Time
 	moved time.Time
 
-	// missed is since when the router has been judged dead; zero if it isn't.
+	// missed is since when the router has been judged dead or replaced; zero if
+	// it isn't.
 	missed time.Time
 }
 
@@ -349,7 +347,7 @@
 			VM:      p.Incarnation.VM,
 			Address: p.Address,
 		})
-		if p.Alive {
+		if p.Alive && !p.Leaving {
 			alive = append(alive, p.Incarnation)
 		}
 		e.notePeer(p)
@@ -380,10 +378,7 @@
 	}
 	peers := e.view.Peers(e.now)
 	for _, i := range e.incarnations() {
-		if i == e.Self || e.isClosing(i) || e.now.Sub(e.nodes.rows[i].moved) < e.closeAfter(i, peers) {
-			continue
-		}
-		if !e.isGone(i, peers) {
+		if i == e.Self || e.isClosing(i) || !e.isGone(i, peers) || !e.mayClose(i, peers) {
 			continue
 		}
 		e.note("closing", "", field("node", i.String()))
@@ -398,12 +393,17 @@
 	}
 }
 
-// closeAfter is how long a row must have been still before this router closes
-// its shares: those of earlier lives of its own VM at once, the others after
-// their neighbours in a ring had their turn.
-func (e *Edge) closeAfter(dead waxwingwall.Incarnation, peers []member.Peer) time.Duration {
+// mayClose reports whether it is this router's turn to close the shares of one
+// that is gone: those of earlier lives of its own VM at once, the others after
+// the routers before it in an order that all agree on, and only while the row
+// does not show that its router lives.
+func (e *Edge) mayClose(dead waxwingwall.Incarnation, peers []member.Peer) bool {
+	n := e.nodes.rows[dead]
+	if n.missed.IsZero() {
+		n.missed = e.now
+	}
 	if dead.VM == e.Self.VM {
-		return 0
+		return true
 	}
 	own := xxhash.Sum64String(dead.String() + string(e.Self.VM))
 	before := 0
@@ -412,7 +412,7 @@
 			before++
 		}
 	}
-	return touchFresh + time.Duration(before)*closeTurn
+	return e.now.Sub(n.missed) >= deadGrace+time.Duration(before)*closeTurn && e.now.Sub(n.moved) >= touchFresh
 }
 
 // isGone reports whether an incarnation is believed to be gone. It need not be
@@ -428,7 +428,7 @@
 		case p.Incarnation.Boot > i.Boot:
 			return true
 		case p.Incarnation.Boot == i.Boot:
-			return !p.Alive && !n.missed.IsZero() && e.now.Sub(n.missed) >= deadGrace
+			return !p.Alive
 		}
 	}
 	return e.now.Sub(n.seen) >= strangerGrace
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -253,6 +253,9 @@
 
 // idle reports whether no request touched the entry for long.
 func (e *entry) idle(now time.Time) bool {
+	if e.demand.pacing.even && e.active.IsZero() {
+		return false
+	}
 	return !e.cycle.open && e.reserved == 0 && e.owed() == 0 && now.Sub(e.active) >= idleAfter
 }
 
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -65,6 +65,7 @@
 import (
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"waxwingwall"
@@ -191,6 +192,7 @@
 	now      time.Time
 	fenced   bool
 	draining bool
+	retiring bool
 	down     bool
 	asked    int
 	counts   Counts
@@ -220,7 +222,7 @@
 // SetPeers sets whom to ask for shares when the holders of a budget are not
 // known.
 func (b *Book) SetPeers(peers []waxwingwall.Incarnation) {
-	b.peers = peers
+	b.peers = slices.SortedFunc(slices.Values(peers), compare)
 }
 
 // Reserve takes the worst case of a request out of the share. It returns no
@@ -287,6 +289,14 @@
 	return out
 }
 
+// Retire prepares a graceful stop: requests are still paid for, but what none of
+// them needs goes back to the pool, or to a peer while the table is out of
+// reach.
+func (b *Book) Retire(now time.Time) {
+	b.now = now
+	b.retiring = true
+}
+
 // Drain begins a graceful stop: nothing more is reserved, and every share goes
 // back to the pool once its reservations have settled.
 func (b *Book) Drain(now time.Time) {
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -33,6 +33,10 @@
 	// strangers is how many peers are asked while the table does not answer.
 	strangers int
 
+	// even is set if the nodes together hold most of a budget, in even shares
+	// that each may let go as a whole.
+	even bool
+
 	// prompt is set if a wait ends as soon as everyone was asked and nobody has
 	// enough, although what others have reserved may come back.
 	prompt bool
@@ -52,9 +56,10 @@
 	strangers:    3,
 }
 
-// lean suits budgets of which a request can be a large part: shares are narrow
-// and follow demand within seconds, and callers are told at once.
-var lean = pacing{
+// even suits budgets of which a request can be a large part and that have to be
+// spent while the table is out of reach: the nodes hold most of them together,
+// pass shares to each other, and tell callers at once.
+var even = pacing{
 	patience:     800 * time.Millisecond,
 	foundLife:    500 * time.Millisecond,
 	rateWindow:   10 * time.Second,
@@ -64,14 +69,75 @@
 	backoffLast:  800 * time.Millisecond,
 	drawEvery:    200 * time.Millisecond,
 	strangers:    16,
+	even:         true,
 	prompt:       true,
 }
 
-// WithLeanShares makes shares narrow: for budgets that few requests use up.
-func WithLeanShares() Option {
+const (
+	// evenLead is how long the shares of all nodes should last without the
+	// table, at evenBurst times the present pace.
+	evenLead  = 10 * time.Second
+	evenBurst = 1.5
+
+	// evenMost and evenLeast bound the part of what is left of a budget that the
+	// shares hold together, in percent: what is held by nodes that die is lost.
+	evenMost  = 30
+	evenLeast = 6
+
+	// evenExcess is how many times its target a share may hold before the rest
+	// goes back to the pool.
+	evenExcess = 2
+
+	// evenBudgets is up to how many budgets a node draws shares of before
+	// anybody asks for them.
+	evenBudgets = 64
+
+	// slowCall is when a call of the table takes so long that peers are asked
+	// beside it.
+	slowCall = 60 * time.Millisecond
+)
+
+// WithEvenShares makes the nodes hold a part of each budget together that lasts
+// for a while without the table, wide while there is plenty and narrow near its
+// end. All of a share may be let go, so a share counts as spent if its node
+// dies.
+func WithEvenShares() Option {
 	return func(b *Book) {
-		b.pacing = &lean
+		b.pacing = &even
+	}
+}
+
+// target returns how many tokens a share should have to spare: what is left is
+// the pool and what the nodes hold, if all hold as much as this one.
+func (b *Book) target(e *entry) waxwingwall.Tokens {
+	if b.retiring {
+		return 0
+	}
+	nodes := waxwingwall.Tokens(len(b.peers) + 1)
+	left := max(e.pool.row.Pool(), 0) + nodes*max(e.spare(), 0)
+	e.demand.decay(b.now)
+	lead := waxwingwall.Tokens(e.demand.pace(b.now) * evenLead.Seconds() * evenBurst)
+	return min(max(lead, left*evenLeast/100/nodes), left*evenMost/100/nodes)
+}
+
+// wantsEven reports whether the share is well below its target, or the budget's
+// row was never read.
+func (b *Book) wantsEven(e *entry) bool {
+	unread := e.pool.version == 0 && e.pool.row.Paid == 0
+	return e.exists() && (unread || e.spare() < b.target(e)/2)
+}
+
+// surplus returns what a share holds too much of.
+func (b *Book) surplus(e *entry) waxwingwall.Tokens {
+	if e.cycle.open || e.pool.version == 0 {
+		return 0
+	}
+	spare := e.spare() - e.owed()
+	target := b.target(e)
+	if spare <= evenExcess*target {
+		return 0
 	}
+	return spare - target
 }
 
 // Paid is what an outside operator says was paid into a budget.
--- a/core/escrow/peer.go
+++ b/core/escrow/peer.go
@@ -163,6 +163,24 @@
 	b.write(e.shard)
 }
 
+// bequeath passes what a retiring node has to spare to a peer while the table is
+// out of reach.
+func (b *Book) bequeath(e *entry) {
+	if !b.retiring || b.fenced || !b.down && !b.slow(e) || e.cycle.open {
+		return
+	}
+	heirs := b.others(b.peers)
+	gift := min(e.free(), e.row.Sendable-e.sent)
+	if gift <= 0 || len(heirs) == 0 {
+		return
+	}
+	b.asked++
+	p := e.partner(heirs[b.asked%len(heirs)])
+	p.owed += gift
+	p.due = b.now.Add(2 * roundTime)
+	b.payOwed(e)
+}
+
 // available returns what a peer could have of an entry. Of two nodes that both
 // wait, the lower one keeps what it needs, so that one of them gets all.
 func (b *Book) available(e *entry, from waxwingwall.Incarnation) waxwingwall.Tokens {
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -54,24 +54,36 @@
 	required := e.net() + e.owed() + need
 	lead := e.demand.lead(b.now, b.lead)
 	draw := e.draw(b.now, b.self, required, lead)
+	var back waxwingwall.Tokens
+	if b.pacing.even {
+		draw = b.drawEven(e, required)
+		if draw == 0 && e.pool.known && !b.now.Before(e.hold) {
+			back = b.surplus(e)
+		}
+	}
 	next := e.row
-	next.Granted += draw
+	next.Granted += draw - back
 	next.From = e.receipts()
 	next.Allowance = e.allowance(next.Granted, required, lead)
 	ready := min(max(next.Allowance-required, 0)/sendableParts, sendableRequests*e.demand.worst)
+	if b.pacing.even {
+		next.Allowance = next.Granted
+		ready = max(next.Allowance-e.net()-e.owed(), 0)
+	}
 	next.Sendable = max(next.Sendable, e.sent+e.owed()+ready)
 	register := draw == 0 && b.registers(e)
-	if !register && !e.due(next, lead, draw) {
+	if !register && back == 0 && !e.due(next, lead, draw) {
 		return change{}, false
 	}
 	c := change{
 		entry: e,
 		row:   next,
 	}
-	if draw > 0 || register {
+	if draw > 0 || back > 0 || register {
 		c.budget = true
 		c.pool = e.pool.row
 		c.pool.Granted += draw
+		c.pool.Returned += back
 		c.pool.Holders = withHolder(c.pool.Holders, b.self)
 	}
 	return c, true
@@ -113,6 +125,27 @@
 	return missing + extra
 }
 
+// drawEven returns how much to take from the pool where shares are even: what
+// requests wait for comes first.
+func (b *Book) drawEven(e *entry, required waxwingwall.Tokens) waxwingwall.Tokens {
+	if !e.pool.known || !e.exists() {
+		return 0
+	}
+	pool := max(e.pool.row.Pool(), 0)
+	missing := max(required-e.row.Granted, 0)
+	if missing > pool {
+		if e.cycle.open && e.spare() < e.cycle.least && e.spare()+pool >= e.cycle.least {
+			return pool
+		}
+		return 0
+	}
+	if missing == 0 && (b.now.Before(e.quiet) || b.now.Before(e.hold) || !b.wantsEven(e)) {
+		return 0
+	}
+	extra := max(b.target(e)-max(e.row.Granted+missing-required, 0), 0)
+	return missing + min(extra, (pool-missing)/2)
+}
+
 // allowance returns the allowance that goes with a grant.
 func (e *entry) allowance(granted, required, lead waxwingwall.Tokens) waxwingwall.Tokens {
 	want := min(granted, required+e.demand.pacing.leads*lead)
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -86,6 +86,7 @@
 		}
 		for _, e := range s.entries {
 			b.resendAll(e)
+			b.bequeath(e)
 		}
 		b.settleShard(i)
 	}
@@ -172,6 +173,10 @@
 	if e.received > 0 && e.spare() > 0 {
 		return true
 	}
+	if b.pacing.even {
+		asked := !e.active.IsZero() || len(b.entries) <= evenBudgets
+		return asked && !b.now.Before(e.quiet) && !b.now.Before(e.hold) && (b.wantsEven(e) || b.surplus(e) > 0)
+	}
 	return e.exists() && !b.now.Before(e.quiet) && e.spare() < e.demand.lead(b.now, b.lead)
 }
 
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -9,6 +9,9 @@
 const (
 	// roundTime is how long a round of questions waits for answers.
 	roundTime = 300 * time.Millisecond
+
+	// offlineRound is the time between two rounds of questions to all peers.
+	offlineRound = 100 * time.Millisecond
 )
 
 // cycle is one wait of requests for a budget.
@@ -32,6 +35,9 @@
 	gather  bool
 	reports []report
 
+	// offline counts the rounds of questions while the table did not answer.
+	offline int
+
 	// unlisted are nodes beside the holders that have to be asked, in order.
 	unlisted []waxwingwall.Incarnation
 
@@ -99,19 +105,30 @@
 		b.resolve(e, Granted, 0)
 	case b.fenced || b.draining || !b.now.Before(c.deadline):
 		b.resolve(e, OutOfReach, 0)
-	case b.down:
+	case b.down || b.pacing.even && b.slow(e):
 		b.askOffline(e)
 	case c.read && e.spare() < c.least && e.pool.known && e.spare()+e.pool.row.Pool() < c.least:
 		b.collect(e)
 	}
 }
 
+// slow reports whether a call of the entry's shard takes long.
+func (b *Book) slow(e *entry) bool {
+	s := &b.shards[e.shard]
+	return s.call != 0 && b.now.Sub(s.called) >= slowCall
+}
+
 // askOffline asks a few peers while the table does not answer.
 func (b *Book) askOffline(e *entry) {
 	c := &e.cycle
 	if b.now.Before(c.again) {
 		return
 	}
+	if b.pacing.even {
+		c.again = b.now.Add(offlineRound)
+		b.askEven(e)
+		return
+	}
 	c.again = b.now.Add(roundTime)
 	nodes := b.others(e.pool.row.Holders)
 	if len(nodes) == 0 {
@@ -125,6 +142,27 @@
 	}
 }
 
+// askEven asks all peers, as the holders last read may be few of those there
+// are by now: each for a part of what is missing first, for more of it later.
+func (b *Book) askEven(e *entry) {
+	c := &e.cycle
+	nodes := b.others(b.peers)
+	for _, node := range b.others(e.pool.row.Holders) {
+		nodes = withHolder(nodes, node)
+	}
+	if len(nodes) == 0 {
+		return
+	}
+	missing := max(c.need, c.least) - e.free()
+	want := min(missing, missing<<min(c.offline+1, 16)/waxwingwall.Tokens(len(nodes))+1)
+	c.offline++
+	b.rounds++
+	for range min(b.pacing.strangers, len(nodes)) {
+		b.asked++
+		b.ask(e, nodes[b.asked%len(nodes)], want, b.rounds)
+	}
+}
+
 // collect asks all holders what they have, when the pool can't pay, and judges
 // their answers.
 func (b *Book) collect(e *entry) {
