--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -243,6 +243,8 @@
 		switch a := a.(type) {
 		case escrow.Resolved:
 			e.resolved(a.Budget)
+		case escrow.Traded:
+			e.noteTrade(a)
 		case escrow.Fenced:
 			e.renew("shares closed by another router")
 		case member.Changed:
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -67,6 +67,9 @@
 	// events and offset are what the caller has of a stream.
 	events int
 	offset string
+
+	// whole is set once the caller has the whole answer.
+	whole bool
 }
 
 // arrived takes in a request.
@@ -168,6 +171,21 @@
 		field("pool_version", s.PoolVersion), field("total", s.Total), field("store_lost", e.endpoints.lost))
 }
 
+// noteTrade logs a change of a share.
+func (e *Edge) noteTrade(t escrow.Traded) {
+	fields := []Field{
+		field("budget", t.Budget),
+		field("trade", string(t.Trade)),
+		field("tokens", t.Tokens),
+		field("pool", t.Pool),
+		field("pool_version", t.Version),
+	}
+	if !t.Peer.IsZero() {
+		fields = append(fields, field("peer", t.Peer.String()))
+	}
+	e.note("share_traded", "", fields...)
+}
+
 // resolved lets the requests that wait for a budget try again: the most urgent
 // first, then in the order of their arrival.
 func (e *Edge) resolved(budget waxwingwall.Budget) {
@@ -454,6 +472,7 @@
 
 // finish ends a request whose answer the caller has.
 func (e *Edge) finish(r *request) {
+	r.whole = true
 	e.settle(r)
 	e.note("served", r.call.ID, field("events", r.events), field("after", e.now.Sub(r.arrived)))
 	e.do(Finished{
@@ -482,14 +501,15 @@
 	e.forget(r)
 }
 
-// settle charges what was used and frees the rest. An attempt that may have run
-// counts its prompt, and each event that the caller got its most tokens.
+// settle charges what the caller got and frees the rest: the prompt, and each
+// event at its most tokens. A request of which the caller got nothing costs
+// nothing.
 func (e *Edge) settle(r *request) {
 	if r.reserved == 0 || r.book != e.book {
 		return
 	}
 	var used waxwingwall.Tokens
-	if r.mayHaveRun() {
+	if r.whole || r.events > 0 {
 		each := waxwingwall.Tokens(1)
 		if s := e.rules.services[r.service]; s != nil {
 			each = max(s.EventTokens, 1)
@@ -497,6 +517,7 @@
 		used = r.call.Prompt + waxwingwall.Tokens(r.events)*each
 	}
 	e.book.Settle(e.now, r.budget, r.reserved, used)
+	e.note("billed", r.call.ID, field("budget", r.budget), field("used", used), field("reserved", r.reserved))
 	r.reserved = 0
 	e.stepBook()
 }
--- a/core/edge/rules.go
+++ b/core/edge/rules.go
@@ -107,11 +107,18 @@
 func (e *Edge) fund() {
 	for i := range e.rules.configuration.Accounts {
 		a := &e.rules.configuration.Accounts[i]
-		if a.Metered {
-			e.book.Fund(waxwingwall.Budget(a.Name), escrow.Paid{
-				Version: e.rules.version,
-				Total:   a.Prepaid,
-			})
+		if !a.Metered {
+			continue
+		}
+		budget := waxwingwall.Budget(a.Name)
+		before := e.book.Funded(budget)
+		e.book.Fund(budget, escrow.Paid{
+			Version: e.rules.version,
+			Total:   a.Prepaid,
+		})
+		if before.Total != a.Prepaid {
+			e.note("budget_funded", "", field("budget", budget), field("total", a.Prepaid),
+				field("before", before.Total), field("version", e.rules.version))
 		}
 	}
 }
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -162,6 +162,39 @@
 	Budget waxwingwall.Budget
 }
 
+// Trade is a way in which a share changes other than by use.
+type Trade string
+
+// The trades.
+const (
+	// Drawn and Returned are between a share and the pool.
+	Drawn    Trade = "drawn"
+	Returned Trade = "returned"
+
+	// Passed and Took are between a share and that of a peer.
+	Passed Trade = "passed"
+	Took   Trade = "took"
+)
+
+// Traded tells that a share has changed other than by use.
+type Traded struct {
+	effect.IsAction
+
+	// Budget is the budget.
+	Budget waxwingwall.Budget
+
+	// Trade is how it changed, and Tokens by how much.
+	Trade  Trade
+	Tokens waxwingwall.Tokens
+
+	// Peer is the other side; zero for the pool.
+	Peer waxwingwall.Incarnation
+
+	// Pool is what the budget's row had left, as of Version.
+	Pool    waxwingwall.Tokens
+	Version int64
+}
+
 // Fenced tells that a share row of this incarnation was closed by another.
 // The Book refuses every later Reserve.
 type Fenced struct {
@@ -358,6 +391,18 @@
 	return e
 }
 
+// traded tells of a change of a share.
+func (b *Book) traded(e *entry, trade Trade, tokens waxwingwall.Tokens, peer waxwingwall.Incarnation) {
+	b.do(Traded{
+		Budget:  e.row.Budget,
+		Trade:   trade,
+		Tokens:  tokens,
+		Peer:    peer,
+		Pool:    e.pool.row.Pool(),
+		Version: e.pool.version,
+	})
+}
+
 // do adds an action to the output of this step.
 func (b *Book) do(action effect.Action) {
 	b.out = append(b.out, action)
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -82,7 +82,11 @@
 	// evenMost and evenLeast bound the part of what is left of a budget that the
 	// shares hold together, in percent: what is held by nodes that die is lost.
 	evenMost  = 30
-	evenLeast = 6
+	evenLeast = 10
+
+	// evenEnd is the part of a budget, in percent, below which nothing is held in
+	// advance any more: what is stranded then can't be made up for.
+	evenEnd = 3
 
 	// evenExcess is how many times its target a share may hold before the rest
 	// goes back to the pool.
@@ -115,6 +119,9 @@
 	}
 	nodes := waxwingwall.Tokens(len(b.peers) + 1)
 	left := max(e.pool.row.Pool(), 0) + nodes*max(e.spare(), 0)
+	if left < e.pool.row.Total*evenEnd/100 {
+		return 0
+	}
 	e.demand.decay(b.now)
 	lead := waxwingwall.Tokens(e.demand.pace(b.now) * evenLead.Seconds() * evenBurst)
 	return min(max(lead, left*evenLeast/100/nodes), left*evenMost/100/nodes)
@@ -164,6 +171,14 @@
 	}
 }
 
+// Funded returns what was last told by Fund.
+func (b *Book) Funded(budget waxwingwall.Budget) Paid {
+	if e, ok := b.entries[budget]; ok {
+		return e.paid
+	}
+	return Paid{}
+}
+
 // fund returns a budget's row with what was paid since.
 func (e *entry) fund(row BudgetRow) BudgetRow {
 	if e.paid.Version > row.Paid {
--- a/core/escrow/peer.go
+++ b/core/escrow/peer.go
@@ -215,6 +215,7 @@
 			p.check = b.now.Add(checkEvery)
 		}
 		b.counts.Passed += pay
+		b.traded(e, Passed, pay, p.node)
 		b.pass(e, p.node, p.round)
 	}
 }
@@ -284,6 +285,7 @@
 	p := e.partner(from)
 	if sent > p.received {
 		e.received += sent - p.received
+		b.traded(e, Took, sent-p.received, from)
 		p.received = sent
 		e.moves++
 		e.active = b.now
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -297,7 +297,8 @@
 	at := 1
 	for _, c := range s.changes {
 		e := c.entry
-		if c.row.Granted != e.row.Granted {
+		drawn := c.row.Granted - e.row.Granted
+		if drawn != 0 {
 			e.moves++
 			e.hold = b.now.Add(b.pacing.drawEvery + b.jitter(b.pacing.drawEvery))
 		}
@@ -310,6 +311,12 @@
 			}
 			at++
 		}
+		switch {
+		case drawn > 0:
+			b.traded(e, Drawn, drawn, waxwingwall.Incarnation{})
+		case drawn < 0:
+			b.traded(e, Returned, -drawn, waxwingwall.Incarnation{})
+		}
 	}
 	s.changes = nil
 	s.clear()
--- a/core/node.go
+++ b/core/node.go
@@ -219,6 +219,7 @@
 	switch a := a.(type) {
 	case escrow.Resolved:
 		n.resolved(now, a.Budget)
+	case escrow.Traded:
 	case escrow.Fenced:
 		n.stop("budget shares closed")
 	case claim.Cleared:
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -286,7 +286,8 @@
 	defer cancel()
 	p.held = nil
 	ended := p.exchange(ctx, d)
-	if p.r.Context().Err() != nil {
+	if p.r.Context().Err() != nil && ended.Result != edge.Whole {
+		// A caller that has the whole answer may close its connection at once.
 		p.leave()
 		return
 	}
