--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -150,6 +150,14 @@
 	}
 	e.listPeers()
 	e.outlive()
+	e.listHolders()
+}
+
+// listHolders tells the book which routers are not known to be closed.
+func (e *Edge) listHolders() {
+	if e.nodes.known {
+		e.book.SetListed(append(e.incarnations(), e.Self))
+	}
 }
 
 // nodeSeen takes in one row.
@@ -264,6 +272,7 @@
 		Self: e.Self,
 	})
 	e.listPeers()
+	e.listHolders()
 	for _, r := range e.requests {
 		if r.waiting {
 			r.waiting = false
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -165,7 +165,7 @@
 func (e *Edge) noteBudget(r *request, v escrow.Verdict) {
 	s := e.book.Balance(r.budget)
 	e.note("budget_short", r.call.ID,
-		field("budget", r.budget), field("verdict", v.Kind.String()), field("worst", r.call.WorstCase()),
+		field("budget", r.budget), field("verdict", v.Kind.String()), field("reason", v.Reason), field("worst", r.call.WorstCase()),
 		field("free", s.Free), field("spare", s.Spare), field("granted", s.Granted), field("allowance", s.Allowance),
 		field("reserved", s.Reserved), field("pool", s.Pool), field("pool_known", s.PoolKnown),
 		field("pool_version", s.PoolVersion), field("total", s.Total), field("store_lost", e.endpoints.lost))
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -135,6 +135,9 @@
 	kind  Kind
 	until time.Time
 
+	// reason tells how the wait ended, in snake case.
+	reason string
+
 	// bound is more than every request that is refused can be paid with.
 	bound waxwingwall.Tokens
 }
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -152,6 +152,10 @@
 
 	// RetryAfter is when to come back; it is set with OutOfReach only.
 	RetryAfter time.Duration
+
+	// Reason tells how the wait for tokens ended, in snake case; it is set with
+	// Exhausted and OutOfReach.
+	Reason string
 }
 
 // Resolved tells that requests waiting for a budget should Reserve again.
@@ -211,6 +215,10 @@
 
 	peers []waxwingwall.Incarnation
 
+	// listed are the nodes that are not known to be closed; nil if that isn't
+	// known of any.
+	listed []waxwingwall.Incarnation
+
 	// What the Book holds: entries by budget, and by shard in order.
 	entries map[waxwingwall.Budget]*entry
 	shards  []shard
@@ -258,12 +266,32 @@
 	b.peers = slices.SortedFunc(slices.Values(peers), compare)
 }
 
+// SetListed tells which nodes are not known to be closed, this one included.
+// Others are no longer asked, and leave the holders with the next draw.
+func (b *Book) SetListed(nodes []waxwingwall.Incarnation) {
+	b.listed = slices.SortedFunc(slices.Values(nodes), compare)
+}
+
+// holders returns the holders of a budget that are not known to be closed.
+func (b *Book) holders(row BudgetRow) []waxwingwall.Incarnation {
+	if b.listed == nil {
+		return row.Holders
+	}
+	var open []waxwingwall.Incarnation
+	for _, node := range row.Holders {
+		if node == b.self || isHolder(b.listed, node) {
+			open = append(open, node)
+		}
+	}
+	return open
+}
+
 // Reserve takes the worst case of a request out of the share. It returns no
 // actions: after a Waiting, Step soon, with a Tick if nothing else is at hand.
 func (b *Book) Reserve(now time.Time, budget waxwingwall.Budget, worst waxwingwall.Tokens) Verdict {
 	b.now = now
 	if b.fenced || b.draining {
-		return b.later()
+		return b.later("closing")
 	}
 	e := b.entry(budget)
 	if worst <= e.free() {
@@ -278,11 +306,12 @@
 	case Exhausted:
 		b.counts.Exhausted++
 		return Verdict{
-			Kind: Exhausted,
+			Kind:   Exhausted,
+			Reason: e.found.reason,
 		}
 	case OutOfReach:
 		b.counts.OutOfReach++
-		return b.later()
+		return b.later(e.found.reason)
 	}
 	e.wait(now, worst, b.pacing.patience)
 	b.counts.Waiting++
@@ -365,9 +394,10 @@
 }
 
 // later returns the verdict that asks to come back.
-func (b *Book) later() Verdict {
+func (b *Book) later(reason string) Verdict {
 	return Verdict{
 		Kind:       OutOfReach,
+		Reason:     reason,
 		RetryAfter: retryAfter + b.jitter(retryAfter),
 	}
 }
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -84,7 +84,7 @@
 		c.pool = e.pool.row
 		c.pool.Granted += draw
 		c.pool.Returned += back
-		c.pool.Holders = withHolder(c.pool.Holders, b.self)
+		c.pool.Holders = withHolder(b.holders(c.pool), b.self)
 	}
 	return c, true
 }
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -81,13 +81,14 @@
 }
 
 // resolve ends the wait of an entry with a finding; Granted means none.
-func (b *Book) resolve(e *entry, kind Kind, bound waxwingwall.Tokens) {
+func (b *Book) resolve(e *entry, kind Kind, bound waxwingwall.Tokens, reason string) {
 	e.found = finding{}
 	if kind != Granted {
 		e.found = finding{
-			kind:  kind,
-			until: b.now.Add(b.pacing.foundLife),
-			bound: bound,
+			kind:   kind,
+			until:  b.now.Add(b.pacing.foundLife),
+			bound:  bound,
+			reason: reason,
 		}
 	}
 	e.cycle = cycle{}
@@ -102,9 +103,11 @@
 	switch {
 	case !c.open:
 	case e.free() >= c.least:
-		b.resolve(e, Granted, 0)
-	case b.fenced || b.draining || !b.now.Before(c.deadline):
-		b.resolve(e, OutOfReach, 0)
+		b.resolve(e, Granted, 0, "")
+	case b.fenced || b.draining:
+		b.resolve(e, OutOfReach, 0, "closing")
+	case !b.now.Before(c.deadline):
+		b.resolve(e, OutOfReach, 0, c.stage())
 	case b.down || b.pacing.even && b.slow(e):
 		b.askOffline(e)
 	case c.read && e.spare() < c.least && e.pool.known && e.spare()+e.pool.row.Pool() < c.least:
@@ -112,6 +115,19 @@
 	}
 }
 
+// stage tells how far a wait came.
+func (c *cycle) stage() string {
+	switch {
+	case c.offline > 0:
+		return "table_away_peers_asked"
+	case c.round != 0:
+		return "holders_not_all_answered"
+	case c.read:
+		return "holders_move"
+	}
+	return "pool_not_read"
+}
+
 // slow reports whether a call of the entry's shard takes long.
 func (b *Book) slow(e *entry) bool {
 	s := &b.shards[e.shard]
@@ -198,7 +214,7 @@
 	c.asked = b.now
 	c.gather = false
 	c.reports = c.reports[:0]
-	nodes := e.pool.row.Holders
+	nodes := b.holders(e.pool.row)
 	for _, node := range append(e.unlisted(), c.unlisted...) {
 		nodes = withHolder(nodes, node)
 	}
@@ -236,10 +252,10 @@
 		b.gather(e)
 		return
 	case seen.complete && held < c.least && c.last == seen:
-		b.resolve(e, Exhausted, held)
+		b.resolve(e, Exhausted, held, "all_asked_twice")
 		return
 	case b.pacing.prompt && seen.complete && held >= c.least:
-		b.resolve(e, OutOfReach, free)
+		b.resolve(e, OutOfReach, free, "reserved_by_others")
 		return
 	}
 	c.last = seen
