--- /dev/null
+++ b/core/escrow/even_test.go
@@ -0,0 +1,241 @@
+package escrow
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"waxwingwall"
+)
+
+// evenWorld is a world of nodes with even shares of one funded budget.
+func evenWorld(seed uint64, nodes int, paid waxwingwall.Tokens) *world {
+	w := newWorld(seed, nodes, WithEvenShares())
+	w.fund(1, paid)
+	return w
+}
+
+// fund tells all nodes what was paid into the budget.
+func (w *world) fund(version int64, paid waxwingwall.Tokens) {
+	for _, n := range w.nodes {
+		n.book.Fund(shop, Paid{
+			Version: version,
+			Total:   paid,
+		})
+	}
+}
+
+// list tells all nodes which of them are not known to be closed.
+func (w *world) list() {
+	var open []waxwingwall.Incarnation
+	for _, n := range w.nodes {
+		if !n.dead {
+			open = append(open, n.book.self)
+		}
+	}
+	for _, n := range w.nodes {
+		n.book.SetListed(open)
+	}
+}
+
+// TestEvenSharesAreDrawnAhead: every node has a share of a budget that nobody
+// asked for yet, so that an outage finds it prepared.
+func TestEvenSharesAreDrawnAhead(t *testing.T) {
+	w := evenWorld(1, 4, 100_000)
+	w.run(2 * time.Second)
+	for _, n := range w.nodes {
+		if free := n.book.Balance(shop).Free; free <= 0 {
+			t.Errorf("node %d holds %d", n.index, free)
+		}
+	}
+	if pool := w.budget(shop).Pool(); pool < 100_000*(100-evenMost)/100 {
+		t.Errorf("pool %d: more is held than %d in 100", pool, evenMost)
+	}
+}
+
+// TestOutageIsBridgedByPeers: while the table is away a node serves from the
+// shares of all others, also of those that were no holders when it last read
+// the budget's row.
+func TestOutageIsBridgedByPeers(t *testing.T) {
+	w := evenWorld(1, 5, 100_000)
+	w.run(2 * time.Second)
+	var held waxwingwall.Tokens
+	for _, n := range w.nodes {
+		held += n.book.Balance(shop).Free
+	}
+	w.tableDown = true
+	first := w.nodes[0]
+	var served waxwingwall.Tokens
+	const size = 500
+	for first.serve(shop, size) == Granted {
+		served += size
+	}
+	if served < held*9/10 {
+		t.Fatalf("served %d of %d held", served, held)
+	}
+}
+
+// TestOutageIsNoticedBeforeItsTimeout: a call of the table that hangs does not
+// keep a request from the shares of peers.
+func TestOutageIsNoticedBeforeItsTimeout(t *testing.T) {
+	w := evenWorld(1, 4, 100_000)
+	w.run(2 * time.Second)
+	n := w.nodes[0]
+	worst := n.book.Balance(shop).Free + 100
+	// Answers are lost and come as such only after a long time.
+	w.tableDown = true
+	w.run(50 * time.Millisecond)
+	began := w.now
+	if kind := n.serve(shop, worst); kind != Granted {
+		t.Fatalf("verdict %s", kind)
+	}
+	if took := w.now.Sub(began); took > 500*time.Millisecond {
+		t.Fatalf("took %s", took)
+	}
+}
+
+// TestClosedHolderIsNotAsked: a node that died after it used up its share, and
+// was closed, does not keep the others from finding out that a budget is
+// exhausted.
+func TestClosedHolderIsNotAsked(t *testing.T) {
+	w := evenWorld(1, 3, 3_000)
+	w.run(2 * time.Second)
+	for range 60 {
+		for _, n := range w.nodes {
+			for n.request(shop, 10) == Granted {
+				n.finish(0, 10)
+			}
+		}
+		w.run(300 * time.Millisecond)
+	}
+	w.nodes[0].dead = true
+	w.close(w.nodes[0], false)
+	w.run(2 * time.Second)
+	w.list()
+	if kind := w.nodes[1].serve(shop, 1_000); kind != Exhausted {
+		t.Fatalf("verdict %s: %+v", kind, w.budget(shop))
+	}
+}
+
+// TestRetiringReturnsAtOnce: a node that is about to stop gives back what its
+// requests don't need while they still run, and pays for new ones.
+func TestRetiringReturnsAtOnce(t *testing.T) {
+	w := evenWorld(1, 3, 100_000)
+	w.run(2 * time.Second)
+	n := w.nodes[0]
+	if kind := n.serve(shop, 700); kind != Granted {
+		t.Fatalf("verdict %s", kind)
+	}
+	n.book.Retire(w.now)
+	w.run(time.Second)
+	if spare := n.book.Balance(shop).Spare; spare != 0 {
+		t.Fatalf("%d to spare after retiring", spare)
+	}
+	if kind := n.serve(shop, 300); kind != Granted {
+		t.Fatalf("verdict %s while retiring", kind)
+	}
+}
+
+// TestRetiringBequeaths: without the table it passes its share to the others.
+func TestRetiringBequeaths(t *testing.T) {
+	w := evenWorld(1, 3, 100_000)
+	w.run(2 * time.Second)
+	w.tableDown = true
+	n := w.nodes[0]
+	had := n.book.Balance(shop).Free
+	n.book.Retire(w.now)
+	// The next call finds the table away.
+	n.request(shop, had+1)
+	w.run(3 * time.Second)
+	if left := n.book.Balance(shop).Free; left > had/10 {
+		t.Fatalf("%d of %d left", left, had)
+	}
+	var received waxwingwall.Tokens
+	for _, other := range w.nodes[1:] {
+		received += other.book.Balance(shop).Received
+	}
+	if received < had*9/10 {
+		t.Fatalf("the others received %d of %d", received, had)
+	}
+}
+
+// TestRaisedTotal: what is paid in later is of use at every node, and an older
+// version does not take it back.
+func TestRaisedTotal(t *testing.T) {
+	w := evenWorld(1, 3, 1_000)
+	w.run(2 * time.Second)
+	if kind := w.nodes[2].serve(shop, 5_000); kind == Granted {
+		t.Fatal("granted more than was paid")
+	}
+	w.nodes[0].book.Fund(shop, Paid{
+		Version: 2,
+		Total:   10_000,
+	})
+	w.run(2 * time.Second)
+	if kind := w.nodes[0].serve(shop, 5_000); kind != Granted {
+		t.Fatalf("verdict %s", kind)
+	}
+	w.nodes[1].book.Fund(shop, Paid{
+		Version: 1,
+		Total:   1_000,
+	})
+	w.nodes[1].serve(shop, 100)
+	if total := w.budget(shop).Total; total != 10_000 {
+		t.Fatalf("total %d", total)
+	}
+}
+
+// TestEvenNeverOverspent: with even shares, too, what is spent and reserved
+// stays within what was paid, whatever is lost, late, cut, paused, killed,
+// closed, retired or raised.
+func TestEvenNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		paid := waxwingwall.Tokens(rapid.IntRange(200, 3000).Draw(t, "paid"))
+		w := evenWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "nodes"), paid)
+		w.loseAnswer = rapid.IntRange(0, 30).Draw(t, "lost answers")
+		w.loseWrite = rapid.IntRange(0, 30).Draw(t, "lost writes")
+		w.loseMessage = rapid.IntRange(0, 30).Draw(t, "lost messages")
+		w.repeat = rapid.IntRange(0, 30).Draw(t, "repeated messages")
+		version := int64(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+			switch rapid.IntRange(0, 12).Draw(t, "step") {
+			case 0, 1, 2, 3, 4:
+				n.request(shop, waxwingwall.Tokens(rapid.IntRange(1, 400).Draw(t, "worst")))
+			case 5, 6:
+				for len(n.running) > 0 && !n.dead && !n.paused {
+					n.finish(0, waxwingwall.Tokens(rapid.Int64Range(0, int64(n.running[0].tokens)).Draw(t, "used")))
+				}
+			case 7:
+				w.tableDown = !w.tableDown
+			case 8:
+				if n.paused {
+					n.resume()
+				} else {
+					n.paused = true
+				}
+			case 9:
+				other := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "other")
+				w.cut[[2]int{n.index, other}] = !w.cut[[2]int{n.index, other}]
+			case 10:
+				n.dead = n.dead || rapid.Bool().Draw(t, "dead")
+				w.close(n, false)
+			case 11:
+				n.book.Retire(w.now)
+			case 12:
+				version++
+				paid += waxwingwall.Tokens(rapid.IntRange(0, 500).Draw(t, "more"))
+				n.book.Fund(shop, Paid{
+					Version: version,
+					Total:   paid,
+				})
+				w.list()
+			}
+			w.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "wait")) * 10 * time.Millisecond)
+			if spent := w.spent(shop); spent > paid {
+				t.Fatalf("%d spent of %d paid", spent, paid)
+			}
+		}
+	})
+}
