--- a/passage.go
+++ b/passage.go
@@ -57,13 +57,13 @@
 	return c.Prompt + c.MaxOutput
 }
 
-// RouteKind tells what may be repeated.
-type RouteKind int
+// CallKind tells what may be repeated.
+type CallKind int
 
 // The kinds of routes.
 const (
 	// OnceOnly requests run at most once for each try of the caller.
-	OnceOnly RouteKind = iota
+	OnceOnly CallKind = iota
 
 	// Repeatable requests may run more than once.
 	Repeatable
@@ -90,7 +90,7 @@
 	Host, Prefix string
 
 	// Kind tells what may be repeated.
-	Kind RouteKind
+	Kind CallKind
 
 	// Resumable is set if a broken stream may go on at another endpoint.
 	Resumable bool
