--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -63,6 +63,7 @@
 	unreadAt waxwingwall.Tokens
 	expected float64
 	began    bool
+	first    time.Duration
 
 	// events and offset are what the caller has of a stream.
 	events int
@@ -236,6 +237,7 @@
 	r.expected = c.cost
 	r.unreadAt = c.unread
 	r.began = false
+	r.first = 0
 	r.tried[c.endpoint.replica.Endpoint] = true
 	e.load(r, 1)
 	for _, p := range r.call.Parts {
@@ -307,6 +309,7 @@
 	}
 	r.at.prefill -= r.unreadAt
 	r.began = true
+	r.first = e.now.Sub(r.sent)
 	r.at.reached()
 	r.at.paced(e.now.Sub(r.sent), r.expected/r.at.pace)
 	e.news.loadChanged = true
@@ -329,7 +332,7 @@
 	e.note("attempt_ended", r.call.ID,
 		field("attempt", ev.Attempt), field("endpoint", row.replica.Endpoint), field("result", ev.Result.String()),
 		field("status", ev.Status), field("committed", ev.Committed), field("events", ev.Events),
-		field("took", e.now.Sub(r.sent)), field("cause", ev.Err))
+		field("first", r.first), field("took", e.now.Sub(r.sent)), field("cause", ev.Err))
 	switch {
 	case ev.Result == Whole:
 		e.finish(r)
