--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -14,6 +14,10 @@
 	// much again is added.
 	backSoon = 200 * time.Millisecond
 
+	// backAfterOutage is when to come back while the budget's row is out of
+	// reach: outages of the store last for seconds, and a caller has few tries.
+	backAfterOutage = 2 * time.Second
+
 	// leastTime is how much of a request's time has to be left for another
 	// attempt.
 	leastTime = 50 * time.Millisecond
@@ -158,7 +162,11 @@
 	case escrow.OutOfReach:
 		r.waiting = false
 		e.noteBudget(r, verdict)
-		e.refuse(r, e.unavailable("budget_out_of_reach", "no share of the budget can be had now", verdict.RetryAfter))
+		after := verdict.RetryAfter
+		if verdict.Reason == escrow.ReasonTableAway {
+			after = backAfterOutage
+		}
+		e.refuse(r, e.unavailable("budget_out_of_reach", "no share of the budget can be had now", after))
 	}
 }
 
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -145,6 +145,10 @@
 	return "unknown"
 }
 
+// ReasonTableAway is the reason of a verdict that was reached without the table:
+// the peers have too little, and the pool is out of reach.
+const ReasonTableAway = "table_away_peers_asked"
+
 // Verdict answers Reserve.
 type Verdict struct {
 	// Kind tells what became of it.
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -82,7 +82,7 @@
 	// evenMost and evenLeast bound the part of what is left of a budget that the
 	// shares hold together, in percent: what is held by nodes that die is lost.
 	evenMost  = 50
-	evenLeast = 15
+	evenLeast = 20
 
 	// evenEnd is the part of a budget, in percent, below which nothing is held in
 	// advance any more: what is stranded then can't be made up for.
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -119,7 +119,7 @@
 func (c *cycle) stage() string {
 	switch {
 	case c.offline > 0:
-		return "table_away_peers_asked"
+		return ReasonTableAway
 	case c.round != 0:
 		return "holders_not_all_answered"
 	case c.read:
