--- a/cmd/waxwingwall/edge.go
+++ b/cmd/waxwingwall/edge.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"waxwingwall/io/logline"
 	"waxwingwall/relay"
 	"waxwingwall/settings"
 )
@@ -33,6 +34,9 @@
 	if err != nil {
 		return err
 	}
+	lines, closeLines := logline.NewWriter(os.Stdout)
+	defer closeLines()
+	log.Logger.SetOutput(lines)
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(s.Memory / 100 * memoryShare)
 	}
--- /dev/null
+++ b/io/logline/logline_test.go
@@ -0,0 +1,127 @@
+package logline
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// stuck is a reader that takes nothing until it is let go.
+type stuck struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (s *stuck) Write(b []byte) (int, error) {
+	<-s.gate
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(b)
+}
+
+func (s *stuck) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.String()
+}
+
+// TestStuckReader: whoever logs is not held up by a reader that is stuck; what
+// was dropped is told once it reads again.
+func TestStuckReader(t *testing.T) {
+	out := &stuck{
+		gate: make(chan struct{}),
+	}
+	w, stop := NewWriter(out)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		for i := range 3 * queueLines {
+			fmt.Fprintf(w, "line %d\n", i)
+		}
+	}()
+	select {
+	case <-written:
+	case <-time.After(10 * time.Second):
+		t.Fatal("held up")
+	}
+	if w.Dropped() == 0 {
+		t.Error("nothing was counted as dropped")
+	}
+	close(out.gate)
+	for end := time.Now().Add(10 * time.Second); !strings.Contains(out.String(), "log_lines_dropped"); {
+		if time.Now().After(end) {
+			t.Fatal("drops were not told")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+}
+
+// TestFlood: in a flood the lines of a second stay bounded, and what is kept of
+// a request is complete.
+func TestFlood(t *testing.T) {
+	s := Sampler{
+		Lines: 100,
+	}
+	now := time.Unix(1_800_000_000, 0)
+	const lines = 4
+	for second := range 20 {
+		kept := 0
+		whole := map[string]int{}
+		for i := range 1000 {
+			id := fmt.Sprintf("request-%d-%d", second, i)
+			for range lines {
+				if keep, _ := s.Keep(now, id, false); keep {
+					kept++
+					whole[id]++
+				}
+			}
+		}
+		if kept > urgentFactor*100 {
+			t.Errorf("second %d: %d lines", second, kept)
+		}
+		if second < 8 {
+			now = now.Add(time.Second)
+			continue
+		}
+		for id, n := range whole {
+			if n != lines {
+				t.Errorf("%s: %d of %d lines", id, n, lines)
+			}
+		}
+		if kept == 0 {
+			t.Errorf("second %d: nothing kept", second)
+		}
+		now = now.Add(time.Second)
+	}
+}
+
+// TestUrgentFirst: lines of refusals are kept while others are left out.
+func TestUrgentFirst(t *testing.T) {
+	s := Sampler{
+		Lines: 100,
+	}
+	now := time.Unix(1_800_000_000, 0)
+	refused, served := 0, 0
+	for range 12 {
+		refused, served = 0, 0
+		for i := range 2000 {
+			if keep, _ := s.Keep(now, fmt.Sprint("served-", i), false); keep {
+				served++
+			}
+			if i%40 == 0 {
+				if keep, _ := s.Keep(now, fmt.Sprint("refused-", i), true); keep {
+					refused++
+				}
+			}
+		}
+		now = now.Add(time.Second)
+	}
+	if refused != 50 || served >= 1000 {
+		t.Errorf("%d of 50 refusals, %d of 2000 served", refused, served)
+	}
+}
--- a/relay/control.go
+++ b/relay/control.go
@@ -95,7 +95,7 @@
 	case edge.Registered:
 		r.self = a.Self
 	case edge.Note:
-		r.note(a)
+		r.note(now, a)
 	case edge.Drained:
 		r.drainedOnce.Do(func() { close(r.drained) })
 	case edge.Dispatch:
--- a/relay/log.go
+++ b/relay/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"log"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -12,8 +13,25 @@
 // quiet drops what net/http has to say of single connections.
 var quiet = log.New(io.Discard, "", 0)
 
-// note logs a decision.
-func (r *Relay) note(n edge.Note) {
+// urgent are the notes that are kept when others are left out.
+var urgent = map[string]bool{
+	"refused":            true,
+	"cut":                true,
+	"budget_short":       true,
+	"no_endpoint":        true,
+	"retry_budget_spent": true,
+	"crash_counted":      true,
+}
+
+// note logs a decision, unless there are too many.
+func (r *Relay) note(now time.Time, n edge.Note) {
+	keep, left := r.sampler.Keep(now, n.Request, urgent[n.Event])
+	if left > 0 {
+		r.log.WithField("lines", left).Warning("log_lines_left_out")
+	}
+	if !keep {
+		return
+	}
 	fields := make(logrus.Fields, len(n.Fields)+1)
 	for _, f := range n.Fields {
 		fields[f.Name] = f.Value
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,6 +28,7 @@
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
 	"waxwingwall/core/member"
+	"waxwingwall/io/logline"
 	"waxwingwall/io/origin"
 	"waxwingwall/io/peer"
 	"waxwingwall/platform"
@@ -60,8 +61,9 @@
 	links    *peer.Links
 	wire     waxwingwall.Wire
 
-	// edge, self and passages belong to the control goroutine.
+	// edge, sampler, self and passages belong to the control goroutine.
 	edge     *edge.Edge
+	sampler  logline.Sampler
 	self     waxwingwall.Incarnation
 	passages map[uint64]*passage
 
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,553 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingwall"
+	"waxwingwall/platform/standin"
+	"waxwingwall/settings"
+)
+
+// fleet is a store, endpoints and relays, in one process.
+type fleet struct {
+	t       *testing.T
+	store   *standin.Store
+	address netip.AddrPort
+	engines []*standin.Endpoint
+	ledgers []*standin.Endpoint
+	relays  []*node
+	asked   int
+}
+
+// node is one relay.
+type node struct {
+	*Relay
+	settings settings.Edge
+	stop     func()
+	log      *lockedBuffer
+}
+
+// lockedBuffer is a buffer that several goroutines may use.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
+// newFleet starts a fleet of n relays before two engines and two ledgers.
+func newFleet(t *testing.T, n int, accounts ...standin.Account) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:     t,
+		store: &standin.Store{},
+	}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	for i := range 2 {
+		engine := &standin.Endpoint{
+			ID:     fmt.Sprintf("engine-%d", i),
+			Events: 6,
+			Pause:  5 * time.Millisecond,
+		}
+		ledger := &standin.Endpoint{
+			ID: fmt.Sprintf("ledger-%d", i),
+		}
+		t.Cleanup(engine.Start())
+		t.Cleanup(ledger.Start())
+		f.store.Put("servers", engine.ID, engine.Entry("model", "ready"))
+		f.store.Put("servers", ledger.ID, ledger.Entry("ledger", "ready"))
+		f.engines = append(f.engines, engine)
+		f.ledgers = append(f.ledgers, ledger)
+	}
+	f.store.Put("op", "config", standin.Configuration(1, accounts...))
+	for i := range n {
+		f.start(fmt.Sprintf("vm-%d", i))
+	}
+	return f
+}
+
+// start starts a relay and waits until it serves.
+func (f *fleet) start(vm string) *node {
+	f.t.Helper()
+	s := settings.Edge{
+		VM:           waxwingwall.VM(vm),
+		Domain:       "d1",
+		Callers:      freePort(f.t),
+		Readiness:    freePort(f.t),
+		Directory:    freePort(f.t),
+		Peers:        freePort(f.t),
+		Metrics:      freePort(f.t),
+		Store:        f.address,
+		Grace:        5 * time.Second,
+		Lifetime:     2 * time.Second,
+		RetryRatio:   0.2,
+		RetryReserve: 50,
+		RetryWindow:  10 * time.Second,
+	}
+	log := logrus.New()
+	buffer := &lockedBuffer{}
+	log.SetOutput(buffer)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	r, stop, err := New(s, WithLog(logrus.NewEntry(log)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n := &node{
+		Relay:    r,
+		settings: s,
+		stop:     sync.OnceFunc(stop),
+		log:      buffer,
+	}
+	f.t.Cleanup(n.stop)
+	f.relays = append(f.relays, n)
+	f.until("a relay serves", func() bool {
+		if !standin.Ready("http://" + s.Readiness.String()) {
+			return false
+		}
+		got := f.ask(n, "quote", "", 0, 0)
+		return got.status == http.StatusOK
+	})
+	return n
+}
+
+// freePort finds a port that nothing listens on.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// until waits for a condition.
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatal("not in time: " + what)
+}
+
+// got is what a caller got.
+type got struct {
+	status int
+	body   string
+	seal   string
+	header http.Header
+	err    error
+}
+
+// ask makes one request and reads its answer.
+func (f *fleet) ask(n *node, route, body string, prompt, output int) got {
+	f.asked++
+	return f.askAs(n, fmt.Sprintf("call-%d", f.asked), "key", "/"+route+"/x%2Fy?a=b;c", body, prompt, output)
+}
+
+func (f *fleet) askAs(n *node, id, key, target, body string, prompt, output int) got {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.settings.Callers.String()+target, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "a.example"
+	standin.Head(req.Header, id, key, prompt, output)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return got{
+			err: err,
+		}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return got{
+		status: resp.StatusCode,
+		body:   string(text),
+		seal:   standin.Seal(resp.Header),
+		header: resp.Header,
+		err:    err,
+	}
+}
+
+// pieces is the stream of an engine from its first event to its last.
+func pieces(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// runs returns what all endpoints ran for a call.
+func (f *fleet) runs(id string) []standin.Run {
+	var all []standin.Run
+	for _, e := range append(append([]*standin.Endpoint{}, f.engines...), f.ledgers...) {
+		for _, r := range e.Runs() {
+			if r.Call == id {
+				all = append(all, r)
+			}
+		}
+	}
+	return all
+}
+
+var shop = standin.Account{
+	Name:    "shop",
+	Key:     "key",
+	Prepaid: 1_000_000,
+}
+
+// TestPassThrough: method, target and body go to the endpoint as they came, the
+// key does not, and the answer comes back with its seal.
+func TestPassThrough(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	a := f.ask(f.relays[0], "order", "40 loaves", 0, 0)
+	if a.status != http.StatusOK || !strings.HasSuffix(a.body, ": 40 loaves") || a.seal == "" {
+		t.Fatalf("%+v", a)
+	}
+	r := f.runs(fmt.Sprintf("call-%d", f.asked))
+	if len(r) != 1 || r[0].Method != http.MethodPost || r[0].Target != "/order/x%2Fy?a=b;c" || r[0].Body != "40 loaves" || r[0].Account != "shop" || r[0].Key != "" {
+		t.Fatalf("%+v", r)
+	}
+	if s := f.ask(f.relays[0], "draft", "hello", 1000, 50); s.body != pieces(6) || s.err != nil {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// TestBadRequests get their answers at once and reach no endpoint.
+func TestBadRequests(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	n := f.relays[0]
+	for name, a := range map[string]struct {
+		got    got
+		status int
+	}{
+		"no id":       {f.askAs(n, "", "key", "/order/", "", 0, 0), http.StatusBadRequest},
+		"unknown key": {f.askAs(n, "bad-1", "other", "/order/", "", 0, 0), http.StatusUnauthorized},
+		"no route":    {f.askAs(n, "bad-2", "key", "/nothing/", "", 0, 0), http.StatusNotFound},
+		"large body":  {f.askAs(n, "bad-3", "key", "/order/", strings.Repeat("x", 2000), 0, 0), http.StatusRequestEntityTooLarge},
+		"large head":  {f.askAs(n, "bad-4", "key", "/order/?"+strings.Repeat("x", 5000), "", 0, 0), http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		if a.got.status != a.status {
+			t.Errorf("%s: %+v", name, a.got)
+		}
+	}
+	for _, id := range []string{"", "bad-1", "bad-2", "bad-3", "bad-4"} {
+		if r := f.runs(id); len(r) > 0 {
+			t.Errorf("%q ran: %+v", id, r)
+		}
+	}
+}
+
+// TestSlowBody: a body that stalls is answered with 408.
+func TestSlowBody(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	c, err := net.Dial("tcp", f.relays[0].settings.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /order/ HTTP/1.1\r\nHost: a.example\r\n")
+	h := http.Header{}
+	standin.Head(h, "slow", "key", 0, 0)
+	_ = h.Write(c)
+	fmt.Fprint(c, "Content-Length: 10\r\n\r\nabc")
+	if err := c.SetReadDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, 12)
+	if _, err := io.ReadFull(c, answer); err != nil || string(answer) != "HTTP/1.1 408" {
+		t.Fatalf("%q %v", answer, err)
+	}
+	if r := f.runs("slow"); len(r) > 0 {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// TestBrokenAnswers: a stream that may be resumed goes on at the other engine
+// without gap or repeat; another one does not look complete; an order whose
+// answer was lost is not run again and not said to be not run.
+func TestBrokenAnswers(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	n := f.relays[0]
+	resumed := false
+	for range 20 {
+		f.engines[0].Break(1, 2)
+		if a := f.ask(n, "advice", "", 1000, 50); a.body != pieces(6) || a.err != nil {
+			t.Errorf("resumed: %+v", a)
+		}
+		for _, r := range f.runs(fmt.Sprintf("call-%d", f.asked)) {
+			resumed = resumed || r.Offset == "2"
+		}
+		f.engines[0].Break(0, 0)
+	}
+	if !resumed {
+		t.Error("no stream went on behind its second event")
+	}
+	for _, e := range f.engines {
+		e.Break(1, 2)
+	}
+	if a := f.ask(n, "draft", "", 1000, 50); a.err == nil {
+		t.Errorf("cut: looks complete: %+v", a)
+	}
+	for _, e := range f.ledgers {
+		e.Break(1, 0)
+	}
+	a := f.ask(n, "order", "glass", 0, 0)
+	if r := f.runs(fmt.Sprintf("call-%d", f.asked)); a.status != http.StatusBadGateway || len(r) != 1 {
+		t.Errorf("%+v, %d runs", a, len(r))
+	}
+}
+
+// TestElsewhere: what an endpoint turned away, or a repeatable request that it
+// failed, is served by another.
+func TestElsewhere(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	n := f.relays[0]
+	f.ledgers[0].Decline(100)
+	f.ledgers[1].Decline(0)
+	for range 5 {
+		if a := f.ask(n, "order", "", 0, 0); a.status != http.StatusOK || a.seal != "seal-ledger-1" {
+			t.Errorf("%+v", a)
+		}
+	}
+	f.ledgers[0].Decline(0)
+	f.ledgers[0].Fail(http.StatusInternalServerError)
+	for range 5 {
+		if a := f.ask(n, "quote", "", 0, 0); a.status != http.StatusOK || a.seal != "seal-ledger-1" {
+			t.Errorf("%+v", a)
+		}
+	}
+}
+
+// TestBudget: a request that the budget does not cover at its most is refused as
+// not run; what others did not use is of use; a higher total is of use soon, at
+// every router.
+func TestBudget(t *testing.T) {
+	account := shop
+	account.Prepaid = 5_000
+	f := newFleet(t, 2, account)
+	if a := f.ask(f.relays[0], "draft", "", 6_000, 100); a.status != http.StatusPaymentRequired {
+		t.Fatalf("%+v", a)
+	}
+	// Each costs 1,000 for its prompt and 30 for its six events of five tokens.
+	served := 0
+	for i := range 8 {
+		if a := f.ask(f.relays[i%2], "draft", "", 1_000, 100); a.status == http.StatusOK {
+			served++
+		}
+	}
+	if served != 4 {
+		t.Errorf("%d served of a budget for 4", served)
+	}
+	account.Prepaid = 20_000
+	f.store.Put("op", "config", standin.Configuration(2, account))
+	for _, n := range f.relays {
+		f.until("the higher total is of use", func() bool {
+			return f.ask(n, "draft", "", 1_000, 100).status == http.StatusOK
+		})
+	}
+}
+
+// TestRestart: a router that was ended at once comes back, takes over what it
+// left, and the budget holds over both lives.
+func TestRestart(t *testing.T) {
+	account := shop
+	account.Prepaid = 20_000
+	f := newFleet(t, 2, account)
+	served := 0
+	for range 3 {
+		if f.ask(f.relays[0], "draft", "", 1_000, 100).status == http.StatusOK {
+			served++
+		}
+	}
+	f.relays[0].stop()
+	again := f.start("vm-0")
+	f.until("the earlier life is closed", func() bool {
+		return strings.Contains(again.log.String(), `"msg":"closed"`)
+	})
+	for range 40 {
+		if f.ask(again, "draft", "", 1_000, 100).status == http.StatusOK {
+			served++
+		}
+	}
+	if used := served * 1_030; used > 20_000 {
+		t.Errorf("%d tokens used of 20,000", used)
+	}
+	if served < 10 {
+		t.Errorf("%d served", served)
+	}
+}
+
+// TestConfigurationInForce: a new configuration is in force at every router
+// soon, a key that was taken away included.
+func TestConfigurationInForce(t *testing.T) {
+	f := newFleet(t, 2, shop)
+	other := shop
+	other.Key = "other"
+	f.store.Put("op", "config", standin.Configuration(2, other))
+	for _, n := range f.relays {
+		f.until("the key is gone", func() bool {
+			return f.ask(n, "order", "", 0, 0).status == http.StatusUnauthorized
+		})
+	}
+}
+
+// TestOutage: while the store is away requests are served, also those that cost
+// tokens.
+func TestOutage(t *testing.T) {
+	f := newFleet(t, 2, shop)
+	f.until("shares are drawn", func() bool {
+		return strings.Contains(f.relays[0].log.String(), `"trade":"drawn"`) && strings.Contains(f.relays[1].log.String(), `"trade":"drawn"`)
+	})
+	f.store.Down(true)
+	time.Sleep(200 * time.Millisecond)
+	for i := range 10 {
+		if a := f.ask(f.relays[i%2], "draft", "", 1_000, 100); a.status != http.StatusOK {
+			t.Errorf("%+v", a)
+		}
+		if a := f.ask(f.relays[i%2], "order", "", 0, 0); a.status != http.StatusOK {
+			t.Errorf("%+v", a)
+		}
+	}
+}
+
+// TestGracefulStop: a router that is told to stop is not ready at once, leaves
+// the answers of its peers, cuts no stream and gives its shares back.
+func TestGracefulStop(t *testing.T) {
+	f := newFleet(t, 2, shop)
+	leaving, other := f.relays[0], f.relays[1]
+	address := leaving.settings.Callers.String()
+	listed := func() bool {
+		all, err := standin.Addresses("http://" + other.settings.Directory.String())
+		return err == nil && strings.Contains(strings.Join(all, " "), address)
+	}
+	f.until("routers know each other", listed)
+	for _, e := range f.engines {
+		e.Pause = 200 * time.Millisecond
+	}
+	done := make(chan got)
+	go func() { done <- f.askAs(leaving, "long", "key", "/draft/", "", 1_000, 100) }()
+	f.until("the stream runs", func() bool { return len(f.runs("long")) == 1 })
+	leaving.Drain()
+	f.until("it is not ready", func() bool { return !standin.Ready("http://" + leaving.settings.Readiness.String()) })
+	f.until("its peer leaves it out", func() bool { return !listed() })
+	if a := <-done; a.body != pieces(6) || a.err != nil {
+		t.Errorf("%+v", a)
+	}
+	select {
+	case <-leaving.Drained():
+	case <-time.After(10 * time.Second):
+		t.Fatal("did not end")
+	}
+}
+
+// TestLeavingCaller: when a caller goes away its endpoint is told at once.
+func TestLeavingCaller(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	for _, e := range f.engines {
+		e.Pause = 300 * time.Millisecond
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.relays[0].settings.Callers.String()+"/draft/", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	standin.Head(req.Header, "leaver", "key", 1000, 100)
+	go func() {
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	f.until("the stream runs", func() bool { return len(f.runs("leaver")) == 1 })
+	cancel()
+	f.until("the router noticed", func() bool {
+		return strings.Contains(f.relays[0].log.String(), `"msg":"caller_left"`)
+	})
+}
+
+// TestDesk: metrics and the state dump are served.
+func TestDesk(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	f.ask(f.relays[0], "order", "", 0, 0)
+	base := "http://" + f.relays[0].settings.Metrics.String()
+	for path, want := range map[string]string{
+		"/metrics": "waxwingwall_edge_requests_total",
+		"/state":   `"registered":true`,
+	} {
+		resp, err := http.Get(base + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || !strings.Contains(string(text), want) {
+			t.Errorf("%s: no %s in %.300s", path, want, text)
+		}
+	}
+}
+
+// TestLinesOfARequest: the log tells the way of a request by its ID, from the
+// decision where it goes to its end.
+func TestLinesOfARequest(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	f.ask(f.relays[0], "draft", "", 1000, 100)
+	id := fmt.Sprintf("call-%d", f.asked)
+	want := map[string][]string{
+		"dispatched":    {"endpoint", "among", "cost_ms", "reserved", "version", "left"},
+		"attempt_ended": {"endpoint", "result", "status", "first", "took"},
+		"billed":        {"budget", "used", "reserved"},
+		"served":        {"events", "after"},
+	}
+	f.until("the last line is there", func() bool { return strings.Contains(f.relays[0].log.String(), `"msg":"served","request":"`+id) })
+	for line := range strings.SplitSeq(strings.TrimSpace(f.relays[0].log.String()), "\n") {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		if fields["request"] != id {
+			continue
+		}
+		event := fields["msg"].(string)
+		for _, name := range want[event] {
+			if _, ok := fields[name]; !ok {
+				t.Errorf("%s has no %s: %s", event, name, line)
+			}
+		}
+		delete(want, event)
+	}
+	if len(want) > 0 {
+		t.Errorf("no line: %v", want)
+	}
+}
