edge: callers are told of routers with fast links that are not much busier than others

Cause: one large caller keeps its connections, and sent 1,265 of 3,100 requests of the small twin of the grown tanks site to one router with a 10 Mbit/s link, which then could not even connect to endpoints (92 of 171 attempts in 6 s). Ruled out: processor time (1.3 in 100 of a core at most).

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -53,6 +53,9 @@
 
 	// Domain is its failure domain.
 	Domain waxwingwall.Domain
+
+	// Link is the speed of its VM's link in Mbit/s; zero if it isn't known.
+	Link int
 }
 
 // Bounds are the times and limits that the operators set for the fleet.
--- a/core/edge/load_test.go
+++ b/core/edge/load_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/effect"
+	"waxwingwall/core/member"
 )
 
 // These tests need no network; each names the pattern of load that it answers.
@@ -158,3 +161,62 @@
 		})
 	}
 }
+
+// TestBusyRouterIsLeftOut: one large caller sends all that it has to one router.
+// It is told of the others until that router is no busier than they are.
+func TestBusyRouterIsLeftOut(t *testing.T) {
+	b := newBench(t)
+	for i := range 7 {
+		peer := waxwingwall.Incarnation{VM: waxwingwall.VM(fmt.Sprintf("vm-%d", i+2)), Boot: 1}
+		b.step(effect.Received{From: peer, Message: member.Heartbeat{Self: member.Rumour{
+			Incarnation: peer,
+			Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 1),
+			Callers:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 2),
+		}}})
+	}
+	for i := range uint64(60) {
+		b.arrive(prompt(i, 1000+i))
+	}
+	if all, _ := b.edge.Addresses(b.now); len(all) != 7 {
+		t.Errorf("%d listed, the busy router among them", len(all))
+	}
+	for id := range uint64(60) {
+		b.step(Left{Request: id + 1})
+	}
+	if all, _ := b.edge.Addresses(b.now); len(all) != 8 {
+		t.Errorf("%d listed after the burst", len(all))
+	}
+}
+
+// TestSlowLinksAreLeftOut: a few routers have fast links and many have slow
+// ones, and one large caller fills a slow link. Callers are told of the fast ones
+// while there are enough of them.
+func TestSlowLinksAreLeftOut(t *testing.T) {
+	b := newBench(t)
+	b.edge.place.Link = 200
+	beat := func(n int) {
+		for i := range n {
+			vm := waxwingwall.VM(fmt.Sprintf("vm-%02d", i+2))
+			link := 10
+			if i < 5 {
+				link = 200
+			}
+			peer := waxwingwall.Incarnation{VM: vm, Boot: 1}
+			b.edge.nodes.rows[peer] = &node{row: nodeRow{Link: link}}
+			b.step(effect.Received{From: peer, Message: member.Heartbeat{Self: member.Rumour{
+				Incarnation: peer,
+				Address:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 1),
+				Callers:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 2),
+			}}})
+		}
+	}
+	beat(20)
+	if all, _ := b.edge.Addresses(b.now); len(all) != 6 {
+		t.Errorf("%d routers with fast links listed of 6", len(all))
+	}
+	few := newBench(t)
+	few.edge.place.Link = 10
+	if all, _ := few.edge.Addresses(few.now); len(all) != 1 {
+		t.Errorf("%d listed of one slow router", len(all))
+	}
+}
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -36,6 +36,17 @@
 	touchEvery = time.Second
 	touchFresh = 2500 * time.Millisecond
 
+	// slowLink is by which factor a link is slower than the fastest to count as
+	// slow; leastListed is how many routers callers are told of at least, slow
+	// ones included.
+	slowLink    = 4
+	leastListed = 4
+
+	// busyFactor is how many times the mean number of requests a router may run,
+	// beside busySlack, before new callers are sent elsewhere.
+	busyFactor = 2
+	busySlack  = 8
+
 	// registerTimeout is when a registration without an answer is tried again.
 	registerTimeout = 2 * time.Second
 )
@@ -49,6 +60,9 @@
 	// Domain is its failure domain.
 	Domain waxwingwall.Domain `json:"domain"`
 
+	// Link is the speed of its VM's link in Mbit/s; zero if it isn't known.
+	Link int `json:"link,omitempty"`
+
 	// Touch counts up while it misses another router.
 	Touch int `json:"touch,omitempty"`
 }
@@ -310,6 +324,7 @@
 		Peers:   e.place.Peers,
 		Callers: e.place.Callers,
 		Domain:  e.place.Domain,
+		Link:    e.place.Link,
 		Touch:   t.touch,
 	})
 	if err != nil {
@@ -491,18 +506,3 @@
 	}
 	return n
 }
-
-// Addresses returns where callers may connect: every router that is heard and
-// not about to stop.
-func (e *Edge) Addresses(now time.Time) ([]netip.AddrPort, time.Duration) {
-	var all []netip.AddrPort
-	if e.Ready() {
-		all = append(all, e.place.Callers)
-	}
-	for _, p := range e.view.Peers(now) {
-		if p.Alive && !p.Suspect && p.Reachable && !p.Leaving && p.Callers.IsValid() {
-			all = append(all, p.Callers)
-		}
-	}
-	return all, e.bounds.Lifetime
-}
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -96,6 +96,11 @@
 	// anybody asks for them.
 	evenBudgets = 64
 
+	// evenNodes is from how many other nodes on a node holds a share only while
+	// it is asked for tokens, evenIdle how long it keeps one without.
+	evenNodes = 16
+	evenIdle  = 10 * time.Second
+
 	// slowCall is when a call of the table takes so long that peers are asked
 	// beside it.
 	slowCall = 60 * time.Millisecond
@@ -117,7 +122,10 @@
 	if b.retiring {
 		return 0
 	}
-	nodes := waxwingwall.Tokens(len(b.peers) + 1)
+	if b.large() && !e.active.IsZero() && b.now.Sub(e.active) >= evenIdle {
+		return 0
+	}
+	nodes := waxwingwall.Tokens(len(withHolder(b.holders(e.pool.row), b.self)))
 	left := max(e.pool.row.Pool(), 0) + nodes*max(e.spare(), 0)
 	if left < e.pool.row.Total*evenEnd/100 {
 		return 0
@@ -127,6 +135,12 @@
 	return min(max(lead, left*evenLeast/100/nodes), left*evenMost/100/nodes)
 }
 
+// large reports whether there are so many nodes that only those that are asked
+// for tokens hold any.
+func (b *Book) large() bool {
+	return len(b.peers) >= evenNodes
+}
+
 // wantsEven reports whether the share is well below its target, or the budget's
 // row was never read.
 func (b *Book) wantsEven(e *entry) bool {
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -174,7 +174,7 @@
 		return true
 	}
 	if b.pacing.even {
-		asked := !e.active.IsZero() || len(b.entries) <= evenBudgets
+		asked := !e.active.IsZero() || len(b.entries) <= evenBudgets && !b.large()
 		return asked && !b.now.Before(e.quiet) && !b.now.Before(e.hold) && (b.wantsEven(e) || b.surplus(e) > 0)
 	}
 	return e.exists() && !b.now.Before(e.quiet) && e.spare() < e.demand.lead(b.now, b.lead)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -161,6 +161,7 @@
 			Peers:   r.settings.Peers,
 			Callers: r.settings.Callers,
 			Domain:  r.settings.Domain,
+			Link:    r.settings.Link,
 		},
 		edge.WithSeed(uint64(now.UnixNano())),
 		edge.WithBounds(bounds(r.settings)),
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -37,6 +37,9 @@
 	// Memory is how many bytes the process may use; zero if nobody said.
 	Memory int64 `json:"memory"`
 
+	// Link is the speed of the VM's link in Mbit/s; zero if nobody said.
+	Link int `json:"link"`
+
 	// Grace is how long a stop may take.
 	Grace time.Duration `json:"grace"`
 
@@ -58,6 +61,7 @@
 const (
 	maxMemoryMB         = 1 << 20
 	maxRetries          = 1e9
+	maxLink             = 1e9
 	defaultGrace        = 8 * time.Second
 	defaultLifetime     = 2 * time.Second
 	defaultRetryRatio   = 0.1
@@ -65,6 +69,12 @@
 	defaultRetryWindow  = 10 * time.Second
 )
 
+// parseLink reads a speed in Mbit/s, which may have a fraction.
+func parseLink(s string) (int, error) {
+	speed, err := ini.Float(0, maxLink)(s)
+	return int(speed), err
+}
+
 // LoadEdge reads the settings of an edge in a file. Faults of the settings are
 // Errors; a file that can't be read is another error.
 func LoadEdge(path string) (Edge, error) {
@@ -91,6 +101,7 @@
 		Metrics:      ini.Get(listen, "metrics", ini.AddrPort, netip.AddrPort{}),
 		Store:        ini.Get(store, "address", ini.AddrPort),
 		Memory:       ini.Get(limits, "memory_mb", ini.Int[int64](0, maxMemoryMB), 0) << 20,
+		Link:         ini.Get(limits, "link_mbps", parseLink, 0),
 		Grace:        ini.Get(bounds, "grace", ini.Duration(time.Second, maxTime), defaultGrace),
 		Lifetime:     ini.Get(bounds, "lifetime", ini.Duration(time.Second, maxTime), defaultLifetime),
 		RetryRatio:   ini.Get(bounds, "retry_ratio", ini.Float(0, 1), defaultRetryRatio),
