--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -128,6 +128,9 @@
 	known   bool
 	version int64
 	row     BudgetRow
+
+	// at is when it was read or written.
+	at time.Time
 }
 
 // finding is what the last wait came to.
--- a/core/escrow/even_test.go
+++ b/core/escrow/even_test.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// TestIdleSharesShrink: a node that serves nothing does not keep a share that
+// was in proportion once, while another uses the budget up.
+func TestIdleSharesShrink(t *testing.T) {
+	w := evenWorld(1, 4, 100_000)
+	w.run(2 * time.Second)
+	busy := w.nodes[0]
+	for range 400 {
+		if busy.request(shop, 200) == Granted {
+			busy.finish(0, 200)
+		}
+		w.run(50 * time.Millisecond)
+	}
+	left := 100_000 - w.spent(shop)
+	for _, n := range w.nodes[1:] {
+		if spare := n.book.Balance(shop).Spare; spare > left/5 {
+			t.Errorf("node %d holds %d of %d left", n.index, spare, left)
+		}
+	}
+}
+
 // TestOutageIsBridgedByPeers: while the table is away a node serves from the
 // shares of all others, also of those that were no holders when it last read
 // the budget's row.
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -101,6 +101,10 @@
 	evenNodes = 16
 	evenIdle  = 10 * time.Second
 
+	// evenRefresh is how old a node's knowledge of the pool gets while it holds a
+	// share: what it does not need goes back as the pool falls.
+	evenRefresh = 2500 * time.Millisecond
+
 	// slowCall is when a call of the table takes so long that peers are asked
 	// beside it.
 	slowCall = 60 * time.Millisecond
@@ -135,6 +139,12 @@
 	return min(max(lead, left*evenLeast/100/nodes), left*evenMost/100/nodes)
 }
 
+// refreshes reports whether the pool has to be read again to tell whether a
+// share is still in proportion.
+func (b *Book) refreshes(e *entry) bool {
+	return b.pacing.even && e.spare() > 0 && !b.now.Before(e.hold) && b.now.Sub(e.pool.at) >= evenRefresh
+}
+
 // large reports whether there are so many nodes that only those that are asked
 // for tokens hold any.
 func (b *Book) large() bool {
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -157,7 +157,7 @@
 	c := &e.cycle
 	switch {
 	case !c.open:
-		return !e.pool.known && b.wantsInAdvance(e)
+		return !e.pool.known && b.wantsInAdvance(e) || b.refreshes(e)
 	case e.spare() >= c.least:
 		return false
 	case !e.pool.known:
@@ -308,6 +308,7 @@
 				known:   true,
 				version: versions[at],
 				row:     c.pool,
+				at:      b.now,
 			}
 			at++
 		}
@@ -424,6 +425,7 @@
 		known:   true,
 		version: row.Version,
 		row:     e.fund(content),
+		at:      b.now,
 	}
 	e.list()
 }
