--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -81,12 +81,12 @@
 
 	// evenMost and evenLeast bound the part of what is left of a budget that the
 	// shares hold together, in percent: what is held by nodes that die is lost.
-	evenMost  = 50
+	evenMost  = 40
 	evenLeast = 20
 
 	// evenEnd is the part of a budget, in percent, below which nothing is held in
 	// advance any more: what is stranded then can't be made up for.
-	evenEnd = 5
+	evenEnd = 8
 
 	// evenExcess is how many times its target a share may hold before the rest
 	// goes back to the pool.
