--- a/core/edge/place.go
+++ b/core/edge/place.go
@@ -22,6 +22,11 @@
 	// begins at one place.
 	homeShare = 0.3
 
+	// rereadCost is how many times the time to read shared parts counts on top
+	// where they are not kept: they delay all that runs there, and take memory
+	// from other parts.
+	rereadCost = 1.0
+
 	// faultCost is what a run that is sure to fail counts, in milliseconds.
 	faultCost = 4000.0
 
@@ -116,7 +121,9 @@
 	if s := e.rules.services[r.service]; s != nil && s.Engine {
 		c.unread = r.unread(e.now, row)
 		queue := row.prefill + row.others.prefill
+		again := max(c.unread-r.own(), 0)
 		c.cost = (float64(queue+c.unread)/readRate + running*stepCost) * row.pace
+		c.cost += rereadCost * float64(again) / readRate
 		if home {
 			c.cost -= homeShare * float64(c.unread) / readRate
 		}
@@ -166,16 +173,21 @@
 	return max(left, 0)
 }
 
-// holds returns how many tokens of an engine's memory the request takes beyond
-// what it shares.
-func (r *request) holds() waxwingwall.Tokens {
+// own returns how many tokens of the prompt nobody else asks for.
+func (r *request) own() waxwingwall.Tokens {
 	own := r.call.Prompt
 	for i, p := range r.call.Parts {
 		if i < len(r.call.Parts)-1 {
 			own -= p.Tokens
 		}
 	}
-	return max(own, 0) + r.call.MaxOutput/2
+	return max(own, 0)
+}
+
+// holds returns how many tokens of an engine's memory the request takes beyond
+// what it shares.
+func (r *request) holds() waxwingwall.Tokens {
+	return r.own() + r.call.MaxOutput/2
 }
 
 // paced takes in how long a first answer took.
