--- a/core/edge/place.go
+++ b/core/edge/place.go
@@ -25,7 +25,7 @@
 	// rereadCost is how many times the time to read shared parts counts on top
 	// where they are not kept: they delay all that runs there, and take memory
 	// from other parts.
-	rereadCost = 1.0
+	rereadCost = 2.5
 
 	// faultCost is what a run that is sure to fail counts, in milliseconds.
 	faultCost = 4000.0
