--- a/cmd/waxwingctl/list.go
+++ b/cmd/waxwingctl/list.go
@@ -143,6 +143,13 @@
 				},
 			},
 		},
+		{
+			name:  "trace",
+			short: "Print the way of a request through the logs of routers",
+			run: &traceCommand{
+				app: a,
+			},
+		},
 		{
 			name:  "dump",
 			short: "Print the whole state of the router at --router",
--- a/cmd/waxwingctl/main.go
+++ b/cmd/waxwingctl/main.go
@@ -10,6 +10,7 @@
 //	waxwingctl vm list|drain
 //	waxwingctl endpoint list|drain
 //	waxwingctl dump
+//	waxwingctl trace --request ID FILE...
 //	waxwingctl key new
 //
 // The exit status is 0 for done, 1 for refused or a conflict, 2 for a fault of
--- a/cmd/waxwingctl/main_test.go
+++ b/cmd/waxwingctl/main_test.go
@@ -223,3 +223,24 @@
 	ana.router = "http://127.0.0.1:1"
 	ana.want(exitUnavailable, "unavailable", "dump")
 }
+
+// TestTrace: the way of a request is printed with its cause; without files the
+// command line is at fault.
+func TestTrace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "router.log")
+	text := `{"code":"no_endpoint","level":"info","msg":"refused","request":"a","status":503,"time":"2026-10-20T21:33:49.8Z","vm":"edge-1"}` + "\nnonsense\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	o := operatorOf{
+		t:        t,
+		platform: "http://127.0.0.1:1",
+	}
+	out, status := o.run("trace", "--request", "a", path)
+	if status != exitDone || !strings.Contains(out, "edge-1 refused") || !strings.Contains(out, "1 lines could not be read") || !strings.Contains(out, "refused as no_endpoint") {
+		t.Errorf("%d: %s", status, out)
+	}
+	if _, status := o.run("trace", "--request", "a"); status != exitUsage {
+		t.Errorf("status %d without files", status)
+	}
+}
--- a/cmd/waxwingwall/run.go
+++ b/cmd/waxwingwall/run.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -92,7 +93,9 @@
 	}
 	log.SetLevel(level)
 	if l.Format == settings.JSONFormat {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{
+			TimestampFormat: time.RFC3339Nano,
+		})
 	}
 	return logrus.NewEntry(log), nil
 }
--- /dev/null
+++ b/io/logline/trace.go
@@ -0,0 +1,158 @@
+package logline
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one line of a log.
+type Line struct {
+	// Time is when it was written, by its writer's clock.
+	Time time.Time `json:"time"`
+
+	// VM is the process that wrote it, Event what it tells.
+	VM    string `json:"vm"`
+	Event string `json:"event"`
+
+	// Fields are the rest, by name.
+	Fields map[string]any `json:"fields"`
+}
+
+// Way is what logs tell of one request.
+type Way struct {
+	// Request is its ID.
+	Request string `json:"request"`
+
+	// Lines are those that name it, in order of time.
+	Lines []Line `json:"lines"`
+
+	// Cause says how it ended and why, as far as the lines tell.
+	Cause string `json:"cause"`
+
+	// Skipped counts lines that could not be read.
+	Skipped int `json:"skipped"`
+}
+
+// Trace reads logs and returns the way of a request.
+func Trace(request string, logs ...io.Reader) (Way, error) {
+	way := Way{
+		Request: request,
+	}
+	for _, log := range logs {
+		if err := way.read(log); err != nil {
+			return way, err
+		}
+	}
+	slices.SortStableFunc(way.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	way.Cause = way.cause()
+	return way, nil
+}
+
+// read takes in the lines of one log.
+func (w *Way) read(log io.Reader) error {
+	r := bufio.NewReaderSize(log, maxLine)
+	for {
+		text, err := r.ReadString('\n')
+		if strings.TrimSpace(text) != "" {
+			w.take(text)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// take takes in one line.
+func (w *Way) take(text string) {
+	var fields map[string]any
+	if err := json.Unmarshal([]byte(text), &fields); err != nil {
+		w.Skipped++
+		return
+	}
+	if fields["request"] != w.Request {
+		return
+	}
+	line := Line{
+		VM:     textOf(fields["vm"]),
+		Event:  textOf(fields["msg"]),
+		Fields: fields,
+	}
+	at, err := time.Parse(time.RFC3339Nano, textOf(fields["time"]))
+	if err != nil {
+		w.Skipped++
+		return
+	}
+	line.Time = at
+	for _, name := range []string{"time", "vm", "msg", "level", "request"} {
+		delete(fields, name)
+	}
+	w.Lines = append(w.Lines, line)
+}
+
+// textOf returns a field that is a text, or an empty one.
+func textOf(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+// cause says how the request ended.
+func (w *Way) cause() string {
+	if len(w.Lines) == 0 {
+		return "no line names this request"
+	}
+	var last Line
+	var attempt, budget *Line
+	for i := range w.Lines {
+		l := &w.Lines[i]
+		switch l.Event {
+		case "attempt_ended":
+			attempt = l
+		case "budget_short":
+			budget = l
+		case "refused", "cut", "served", "caller_left":
+			last = *l
+		}
+	}
+	switch last.Event {
+	case "":
+		return "it has no end in these logs"
+	case "served":
+		return "served"
+	case "caller_left":
+		return "its caller went away"
+	}
+	text := last.Event
+	if code := textOf(last.Fields["code"]); code != "" {
+		text += " as " + code
+	}
+	switch {
+	case budget != nil:
+		return fmt.Sprintf("%s: budget %v, %v: worst case %v, free %v, pool %v (current: %v), store lost: %v",
+			text, budget.Fields["budget"], budget.Fields["reason"], budget.Fields["worst"],
+			budget.Fields["free"], budget.Fields["pool"], budget.Fields["pool_known"], budget.Fields["store_lost"])
+	case attempt != nil:
+		return fmt.Sprintf("%s: its attempt %v at %v ended as %v %v",
+			text, attempt.Fields["attempt"], attempt.Fields["endpoint"], attempt.Fields["result"], attempt.Fields["cause"])
+	}
+	return text
+}
+
+// String returns the line for people, its fields in the order of their names.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.Time.UTC().Format("15:04:05.000000"), l.VM, l.Event)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
