--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"waxwingwall"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
@@ -97,12 +95,6 @@
 	touched    time.Time
 }
 
-// closing closes the shares of a router that is gone.
-type closing struct {
-	closer *escrow.Closer
-	done   bool
-}
-
 func (t *nodes) init() {
 	t.rows = map[waxwingwall.Incarnation]*node{}
 }
@@ -395,107 +387,6 @@
 	}
 }
 
-// closeDead begins to close what routers that are gone left behind.
-func (e *Edge) closeDead() {
-	if !e.nodes.known || e.nodes.lost || e.leaving() {
-		return
-	}
-	peers := e.view.Peers(e.now)
-	for _, i := range e.incarnations() {
-		if i == e.Self || e.isClosing(i) || !e.isGone(i, peers) || !e.mayClose(i, peers) {
-			continue
-		}
-		e.note("closing", "", field("node", i.String()))
-		e.closers = append(e.closers, &closing{
-			closer: escrow.NewCloser(
-				i, nil,
-				escrow.WithClosedShards(Shards),
-				escrow.WithCloserSeed(e.seed),
-				escrow.WithCloser(e.Self),
-			),
-		})
-	}
-}
-
-// mayClose reports whether it is this router's turn to close the shares of one
-// that is gone: those of earlier lives of its own VM at once, the others after
-// the routers before it in an order that all agree on, and only while the row
-// does not show that its router lives.
-func (e *Edge) mayClose(dead waxwingwall.Incarnation, peers []member.Peer) bool {
-	n := e.nodes.rows[dead]
-	if n.missed.IsZero() {
-		n.missed = e.now
-	}
-	if dead.VM == e.Self.VM {
-		return true
-	}
-	own := xxhash.Sum64String(dead.String() + string(e.Self.VM))
-	before := 0
-	for _, p := range peers {
-		if p.Alive && xxhash.Sum64String(dead.String()+string(p.Incarnation.VM)) < own {
-			before++
-		}
-	}
-	return e.now.Sub(n.missed) >= deadGrace+time.Duration(before)*closeTurn && e.now.Sub(n.moved) >= touchFresh
-}
-
-// isGone reports whether an incarnation is believed to be gone. It need not be
-// right: closing the shares of a living one costs it its shares, no more.
-func (e *Edge) isGone(i waxwingwall.Incarnation, peers []member.Peer) bool {
-	if i.VM == e.Self.VM {
-		return i.Boot < e.Self.Boot
-	}
-	n := e.nodes.rows[i]
-	for _, p := range peers {
-		switch {
-		case p.Incarnation.VM != i.VM:
-		case p.Incarnation.Boot > i.Boot:
-			return true
-		case p.Incarnation.Boot == i.Boot:
-			return !p.Alive
-		}
-	}
-	return e.now.Sub(n.seen) >= strangerGrace
-}
-
-// isClosing reports whether the shares of an incarnation are being closed here.
-func (e *Edge) isClosing(i waxwingwall.Incarnation) bool {
-	return slices.ContainsFunc(e.closers, func(c *closing) bool { return c.closer.Dead == i })
-}
-
-// stepClosers steps the closers, and drops the rows of those that are done.
-func (e *Edge) stepClosers(ev effect.Event) {
-	var open []*closing
-	for _, c := range e.closers {
-		e.absorb(c.closer.Step(e.now, ev))
-		if c.closer.Done() && !c.done {
-			c.done = true
-			e.note("closed", "", field("node", c.closer.Dead.String()), field("returned", c.closer.Returned))
-			e.dropNode(c.closer.Dead)
-		}
-		if _, listed := e.nodes.rows[c.closer.Dead]; listed || !c.done {
-			open = append(open, c)
-		}
-	}
-	e.closers = open
-}
-
-// dropNode drops the row of a router that is gone. Another may have done so.
-func (e *Edge) dropNode(i waxwingwall.Incarnation) {
-	e.calls++
-	e.do(effect.Transact{
-		ID: effect.ID{
-			Part: Part,
-			N:    e.calls,
-		},
-		Writes: []waxwingwall.Write{{
-			Key:    NodeKey(i),
-			Expect: waxwingwall.AnyVersion,
-			Delete: true,
-		}},
-	})
-}
-
 // fleet is how many routers there are, this one included.
 func (e *Edge) fleet() int {
 	n := 1
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -30,13 +30,11 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+
+	"waxwingwall/io/tcp"
 )
 
 const (
-	// dialTimeout bounds the making of a connection. A lost opening packet is
-	// sent again after a second; a fresh try elsewhere is quicker.
-	dialTimeout = 400 * time.Millisecond
-
 	// idleTime is how long a connection is kept if the endpoint does not say.
 	idleTime = 10 * time.Second
 
@@ -47,16 +45,6 @@
 	// maxIdle is how many unused connections are kept for an address.
 	maxIdle = 32
 
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// connection counts as dead.
-	userTimeout = 2500 * time.Millisecond
-
-	// keepAliveIdle, keepAliveEvery and keepAliveCount find an unused connection
-	// that went silent within about three seconds.
-	keepAliveIdle  = time.Second
-	keepAliveEvery = time.Second
-	keepAliveCount = 2
-
 	// inlineBytes is the size up to which a request is written before its answer
 	// is read.
 	inlineBytes = 2 << 10
@@ -108,7 +96,7 @@
 
 // Pool keeps connections to endpoints. Create it with New.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	// mu guards idle, by address, the most recently used last.
 	mu     sync.Mutex
@@ -122,32 +110,12 @@
 // New returns a Pool and a function that closes its unused connections.
 func New() (*Pool, func()) {
 	p := &Pool{
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveIdle,
-				Interval: keepAliveEvery,
-				Count:    keepAliveCount,
-			},
-			Control: setUserTimeout,
-		},
-		idle: map[netip.AddrPort][]*conn{},
+		dialer: tcp.Dialer(),
+		idle:   map[netip.AddrPort][]*conn{},
 	}
 	return p, p.close
 }
 
-// setUserTimeout bounds how long sent bytes may stay unacknowledged.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	if cerr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}); cerr != nil {
-		return cerr
-	}
-	return err
-}
-
 // conn is one connection.
 type conn struct {
 	net.Conn
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -7,21 +7,18 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
+	"waxwingwall/io/meter"
 )
 
 // metrics are the OpenTelemetry instruments of a relay.
 type metrics struct {
-	provider *sdk.MeterProvider
-	handler  http.Handler
+	handler http.Handler
+	close   func()
 
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
@@ -33,16 +30,14 @@
 
 // newMetrics makes the instruments; they are read from a registry of their own.
 func newMetrics() (*metrics, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
 	m := &metrics{
-		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
-		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		handler: handler,
+		close:   stop,
 	}
-	meter := m.provider.Meter("waxwingwall")
 	if m.requests, err = meter.Int64Counter("waxwingwall.edge.requests", metric.WithDescription("Requests that ended, by code.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -64,11 +59,6 @@
 	return m, nil
 }
 
-// close ends the instruments.
-func (m *metrics) close() {
-	_ = m.provider.Shutdown(context.Background())
-}
-
 // ended counts a request that ended.
 func (m *metrics) ended(code string, took time.Duration) {
 	with := metric.WithAttributes(attribute.String("code", code))
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	"waxwingwall"
@@ -106,106 +105,6 @@
 	p.run()
 }
 
-// read reads the head and the body of a request.
-func (p *passage) read(limits waxwingwall.CallerLimits) *waxwingwall.Problem {
-	path := p.r.URL.EscapedPath()
-	var err error
-	p.call, err = p.relay.wire.Call(p.r.Host, path, p.r.Header)
-	if err != nil {
-		return problem(http.StatusBadRequest, "bad_request", err.Error())
-	}
-	if limits.HeaderBytes > 0 && headerBytes(p.r) > limits.HeaderBytes {
-		return problem(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "the head is over the limit")
-	}
-	if limits.BodyBytes > 0 && p.r.ContentLength > limits.BodyBytes {
-		return problem(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
-	}
-	if p.relay.bodies.Load() > max(p.relay.settings.Memory/bodyShare, bodyLeast) {
-		return &waxwingwall.Problem{
-			Status:     http.StatusServiceUnavailable,
-			Code:       "busy",
-			Message:    "no memory for the body",
-			Outcome:    waxwingwall.NotRun,
-			RetryAfter: busyRetry,
-		}
-	}
-	return p.readBody(limits)
-}
-
-// readBody reads the body.
-func (p *passage) readBody(limits waxwingwall.CallerLimits) *waxwingwall.Problem {
-	if p.r.ContentLength == 0 {
-		p.fingerprint()
-		return nil
-	}
-	if limits.HeaderTime > 0 {
-		if err := http.NewResponseController(p.w).SetReadDeadline(p.arrived.Add(limits.HeaderTime)); err != nil {
-			p.relay.log.WithError(err).Warning("no_read_deadline")
-		}
-	}
-	reader := io.Reader(p.r.Body)
-	if limits.BodyBytes > 0 {
-		reader = io.LimitReader(reader, limits.BodyBytes+1)
-	}
-	body, err := io.ReadAll(reader)
-	switch {
-	case err != nil && errors.Is(err, context.Canceled):
-		panic(http.ErrAbortHandler)
-	case isTimeout(err):
-		p.w.Header().Set("Connection", "close")
-		return problem(http.StatusRequestTimeout, "body_too_slow", "the body did not arrive in time")
-	case err != nil:
-		return problem(http.StatusBadRequest, "bad_body", "the body could not be read")
-	case limits.BodyBytes > 0 && int64(len(body)) > limits.BodyBytes:
-		return problem(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
-	}
-	if err := http.NewResponseController(p.w).SetReadDeadline(time.Time{}); err != nil {
-		p.relay.log.WithError(err).Warning("no_read_deadline")
-	}
-	p.body = body
-	p.relay.bodies.Add(int64(len(body)))
-	p.fingerprint()
-	return nil
-}
-
-// isTimeout reports whether an error is that of a deadline.
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
-// fingerprint names what the request is, whoever sends it again.
-func (p *passage) fingerprint() {
-	h := xxhash.New()
-	for _, s := range []string{p.r.Method, p.r.RequestURI, p.call.Key} {
-		_, _ = h.WriteString(s) // A hash takes everything.
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(p.body)
-	p.call.Fingerprint = h.Sum64()
-}
-
-// headerBytes returns the size of a request's head.
-func headerBytes(r *http.Request) int64 {
-	n := int64(len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n"))
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += int64(len(name) + len(v) + len(": \r\n"))
-		}
-	}
-	return n
-}
-
-// problem returns the answer to a request that is at fault.
-func problem(status int, code, message string) *waxwingwall.Problem {
-	return &waxwingwall.Problem{
-		Status:  status,
-		Code:    code,
-		Message: message,
-		Outcome: waxwingwall.NotRun,
-	}
-}
-
 // run performs the actions for the request until the last one.
 func (p *passage) run() {
 	gone := p.r.Context().Done()
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -7,21 +7,18 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"waxwingwall"
 	"waxwingwall/core/effect"
+	"waxwingwall/io/meter"
 )
 
 // metrics are the router's OpenTelemetry instruments.
 type metrics struct {
-	provider *sdk.MeterProvider
-	handler  http.Handler
+	handler http.Handler
+	close   func()
 
 	requests   metric.Int64Counter
 	tokens     metric.Int64Counter
@@ -32,16 +29,14 @@
 
 // newMetrics makes the instruments; they are read from a registry of their own.
 func newMetrics(r *Router) (*metrics, error) {
-	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, err
 	}
 	m := &metrics{
-		provider: sdk.NewMeterProvider(sdk.WithReader(exporter)),
-		handler:  promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		handler: handler,
+		close:   stop,
 	}
-	meter := m.provider.Meter("waxwingwall")
 	if m.requests, err = meter.Int64Counter("waxwingwall.requests", metric.WithDescription("Final answers, by rank and code.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -65,10 +60,6 @@
 	return m, trace.Wrap(err)
 }
 
-func (m *metrics) close() {
-	_ = m.provider.Shutdown(context.Background())
-}
-
 // finished counts a final answer.
 func (m *metrics) finished(r *waxwingwall.Request, e waxwingwall.End) {
 	code := "ok"
