--- a/relay/control.go
+++ b/relay/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"waxwingwall"
@@ -64,6 +65,17 @@
 // publish lets others see what they have to know.
 func (r *Relay) publish(now time.Time) {
 	addresses, lifetime := r.edge.Addresses(now)
+	if before := r.shared.Load(); before == nil || !slices.Equal(before.addresses, addresses) {
+		r.note(now, edge.Note{
+			Event: "addresses_changed",
+			Fields: []edge.Field{
+				{
+					Name:  "listed",
+					Value: addresses,
+				},
+			},
+		})
+	}
 	r.shared.Store(&shared{
 		ready:     r.edge.Ready(),
 		draining:  r.edge.Draining(),
