--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -258,6 +258,28 @@
 	Fields []Field
 }
 
+// value returns the value of a field, or nil.
+func (n Note) value(name string) any {
+	for _, f := range n.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return nil
+}
+
+// Text returns a field that is a text, or an empty one.
+func (n Note) Text(name string) string {
+	s, _ := n.value(name).(string)
+	return s
+}
+
+// Number returns a field that counts tokens, or 0.
+func (n Note) Number(name string) int64 {
+	t, _ := n.value(name).(waxwingwall.Tokens)
+	return int64(t)
+}
+
 // field returns a Field.
 func field(name string, value any) Field {
 	return Field{
--- a/relay/log.go
+++ b/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"log"
 	"time"
@@ -25,8 +26,10 @@
 
 // note logs a decision, unless there are too many.
 func (r *Relay) note(now time.Time, n edge.Note) {
+	r.metrics.noted(n)
 	keep, left := r.sampler.Keep(now, n.Request, urgent[n.Event])
 	if left > 0 {
+		r.metrics.left.Add(context.Background(), int64(left))
 		r.log.WithField("lines", left).Warning("log_lines_left_out")
 	}
 	if !keep {
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,6 +23,11 @@
 	requests metric.Int64Counter
 	attempts metric.Int64Counter
 	calls    metric.Int64Counter
+	short    metric.Int64Counter
+	traded   metric.Int64Counter
+	spent    metric.Int64Counter
+	left     metric.Int64Counter
+	open     metric.Int64UpDownCounter
 	took     metric.Float64Histogram
 	firsts   metric.Float64Histogram
 	store    metric.Float64Histogram
@@ -47,6 +52,21 @@
 	if m.calls, err = meter.Int64Counter("waxwingwall.edge.store_calls", metric.WithDescription("Calls of the store, by result.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.short, err = meter.Int64Counter("waxwingwall.edge.budget_short", metric.WithDescription("Requests for which there were no tokens, by reason.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.traded, err = meter.Int64Counter("waxwingwall.edge.share_tokens", metric.WithDescription("Tokens by which shares changed other than by use, by trade.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.spent, err = meter.Int64Counter("waxwingwall.edge.retries_refused", metric.WithDescription("Attempts not made as the retry budget was spent.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.left, err = meter.Int64Counter("waxwingwall.edge.log_lines_left_out", metric.WithDescription("Log lines left out as there were too many.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.open, err = meter.Int64UpDownCounter("waxwingwall.edge.requests_open", metric.WithDescription("Requests that have not ended.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if m.took, err = meter.Float64Histogram("waxwingwall.edge.duration", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its end, by code.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -56,9 +76,24 @@
 	if m.store, err = meter.Float64Histogram("waxwingwall.edge.store_duration", metric.WithUnit("s"), metric.WithDescription("Time of a call of the store.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	m.spent.Add(context.Background(), 0)
+	m.left.Add(context.Background(), 0)
 	return m, nil
 }
 
+// noted counts what a note tells.
+func (m *metrics) noted(n edge.Note) {
+	ctx := context.Background()
+	switch n.Event {
+	case "budget_short":
+		m.short.Add(ctx, 1, metric.WithAttributes(attribute.String("reason", n.Text("reason"))))
+	case "share_traded":
+		m.traded.Add(ctx, n.Number("tokens"), metric.WithAttributes(attribute.String("trade", n.Text("trade"))))
+	case "retry_budget_spent":
+		m.spent.Add(ctx, 1)
+	}
+}
+
 // ended counts a request that ended.
 func (m *metrics) ended(code string, took time.Duration) {
 	with := metric.WithAttributes(attribute.String("code", code))
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -93,6 +93,8 @@
 		return
 	}
 	defer r.bodies.Add(-int64(len(p.body)))
+	r.metrics.open.Add(context.Background(), 1)
+	defer r.metrics.open.Add(context.Background(), -1)
 	r.post(job{
 		call: func(now time.Time) {
 			r.passages[p.id] = p
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -518,6 +520,54 @@
 	}
 }
 
+// family is the name of a metric in its text form.
+var family = regexp.MustCompile(`waxwingwall_edge_[a-z_]+`)
+
+// TestMetricsAreDocumented: the page for the engineer on call names exactly the
+// metrics that there are.
+func TestMetricsAreDocumented(t *testing.T) {
+	f := newFleet(t, 1, shop)
+	n := f.relays[0]
+	f.ask(n, "draft", "", 1000, 100)
+	f.ask(n, "draft", "", 2_000_000, 100)
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	documented := map[string]bool{}
+	for _, name := range family.FindAllString(string(page), -1) {
+		documented[name] = true
+	}
+	resp, err := http.Get("http://" + n.settings.Metrics.String() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := map[string]bool{}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if name, ok := strings.CutPrefix(line, "# TYPE "); ok {
+			name, _, _ = strings.Cut(name, " ")
+			if family.MatchString(name) {
+				served[name] = true
+			}
+		}
+	}
+	for name := range served {
+		if !documented[name] {
+			t.Errorf("%s is not documented", name)
+		}
+	}
+	for name := range documented {
+		if !served[name] {
+			t.Errorf("%s is documented and not served", name)
+		}
+	}
+}
+
 // TestLinesOfARequest: the log tells the way of a request by its ID, from the
 // decision where it goes to its end.
 func TestLinesOfARequest(t *testing.T) {
