--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -80,9 +80,6 @@
 	rows      map[waxwingwall.Endpoint]*endpoint
 	byService map[waxwingwall.Model][]*endpoint
 
-	// gone remembers endpoints that must not come back under the same life.
-	gone map[waxwingwall.Endpoint]time.Time
-
 	// revision orders what is told of them; whole is set once all are known.
 	revision int64
 	whole    bool
@@ -96,7 +93,6 @@
 func (t *endpoints) init() {
 	t.rows = map[waxwingwall.Endpoint]*endpoint{}
 	t.byService = map[waxwingwall.Model][]*endpoint{}
-	t.gone = map[waxwingwall.Endpoint]time.Time{}
 }
 
 // replicas takes in what the store says.
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -169,9 +169,6 @@
 	// Hold is set if a failure of the endpoint's own is to be kept back until
 	// Deliver or another Dispatch.
 	Hold bool
-
-	// Fresh asks for a new connection.
-	Fresh bool
 }
 
 // Refuse ends a request of which the caller has got nothing.
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -90,7 +90,6 @@
 	registered bool
 	call       uint64
 	called     time.Time
-	version    int64
 	touch      int
 	touched    time.Time
 }
@@ -352,7 +351,6 @@
 		t.registered = true
 		e.note("registered", "", field("self", e.Self.String()), field("version", ev.Versions[0]))
 	}
-	t.version = ev.Versions[0]
 }
 
 // peersChanged takes in that the view of the others has changed.
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -83,9 +83,6 @@
 	// Body is whole.
 	Body []byte
 
-	// Fresh asks for a new connection.
-	Fresh bool
-
 	// First bounds the wait for the head of the answer, Pause the wait for each
 	// part of its body; zero stands for no bound but the context's.
 	First, Pause time.Duration
@@ -124,9 +121,6 @@
 
 	// expires is when it must not be used any more.
 	expires time.Time
-
-	// used is set once it carried a request.
-	used bool
 }
 
 // Answer is an endpoint's answer.
@@ -173,7 +167,7 @@
 
 // take returns a connection that was kept, or makes one.
 func (p *Pool) take(ctx context.Context, r Request) (*conn, error) {
-	for !r.Fresh {
+	for {
 		c := p.kept(r.Address)
 		if c == nil {
 			break
@@ -319,7 +313,6 @@
 		req.Body = io.NopCloser(strings.NewReader(string(r.Body)))
 		req.ContentLength = int64(len(r.Body))
 	}
-	a.conn.used = true
 	if len(r.Body) <= inlineBytes {
 		if err := a.write(req); err != nil {
 			a.written <- err
--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -173,6 +173,20 @@
 	}
 }
 
+// TestForget: after Forget an address gets a new connection.
+func TestForget(t *testing.T) {
+	e := newEndpoint(t, answer("1", "one"), answer("2", "two"))
+	p, stop := New()
+	defer stop()
+	if _, err := body(p, e.to("1")); err != nil {
+		t.Fatal(err)
+	}
+	p.Forget(e.addr)
+	if got, err := body(p, e.to("2")); err != nil || got != "two" || p.Dials() != 2 {
+		t.Fatal(got, err, p.Dials())
+	}
+}
+
 // TestCutShort: an answer that ends early has no whole body.
 func TestCutShort(t *testing.T) {
 	for name, script := range map[string]string{
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -213,7 +213,6 @@
 		Host:    p.r.Host,
 		Header:  p.relay.wire.Forward(p.r.Header, d.Handover),
 		Body:    p.body,
-		Fresh:   d.Fresh,
 		First:   d.First,
 		Pause:   d.Pause,
 		Match: func(h http.Header) bool {
@@ -221,6 +220,10 @@
 			return id == "" || id == p.call.ID
 		},
 	})
+	if errors.Is(err, origin.ErrSilent) {
+		// Others to the same address may have gone silent with it.
+		p.relay.origins.Forget(d.Address)
+	}
 	if err != nil {
 		return failed(err)
 	}
