core, platform: fewer copies of one thing

Read once more: choose counted endpoints in two places; a setting that was always set together with another is that other; the draw of one policy was worked out and thrown away under the other; the directory decoded what no answer depends on; two comments still said that shares hold most of a budget.

--- a/core/edge/place.go
+++ b/core/edge/place.go
@@ -65,21 +65,19 @@
 	var best choice
 	rows := e.endpoints.byService[r.service]
 	home := e.home(rows, r.affinity())
-	found := false
+	among := 0
 	for _, row := range rows {
 		if !row.usable() || r.tried[row.replica.Endpoint] {
 			continue
 		}
 		c := e.cost(r, row, row == home)
-		best.among++
-		if !found || c.cost < best.cost {
-			c.among = best.among
+		if among == 0 || c.cost < best.cost {
 			best = c
-			found = true
 		}
-		best.among = max(best.among, c.among)
+		among++
 	}
-	return best, found
+	best.among = among
+	return best, among > 0
 }
 
 // home is the endpoint that a part falls to. The order is the same at all
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -33,13 +33,11 @@
 	// strangers is how many peers are asked while the table does not answer.
 	strangers int
 
-	// even is set if the nodes together hold most of a budget, in even shares
-	// that each may let go as a whole.
+	// even is set if the nodes together hold a part of a budget in advance, in
+	// even shares that each may let go as a whole. A wait then ends as soon as
+	// everyone was asked and nobody has enough, although what others have
+	// reserved may come back.
 	even bool
-
-	// prompt is set if a wait ends as soon as everyone was asked and nobody has
-	// enough, although what others have reserved may come back.
-	prompt bool
 }
 
 // broad suits budgets that last for days: shares are wide, and few draws are
@@ -57,7 +55,7 @@
 }
 
 // even suits budgets of which a request can be a large part and that have to be
-// spent while the table is out of reach: the nodes hold most of them together,
+// spent while the table is out of reach: the nodes hold a part of them together,
 // pass shares to each other, and tell callers at once.
 var even = pacing{
 	patience:     800 * time.Millisecond,
@@ -70,7 +68,6 @@
 	drawEvery:    200 * time.Millisecond,
 	strangers:    16,
 	even:         true,
-	prompt:       true,
 }
 
 const (
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -53,9 +53,10 @@
 	}
 	required := e.net() + e.owed() + need
 	lead := e.demand.lead(b.now, b.lead)
-	draw := e.draw(b.now, b.self, required, lead)
-	var back waxwingwall.Tokens
-	if b.pacing.even {
+	var draw, back waxwingwall.Tokens
+	if !b.pacing.even {
+		draw = e.draw(b.now, b.self, required, lead)
+	} else {
 		draw = b.drawEven(e, required)
 		if draw == 0 && e.pool.known && !b.now.Before(e.hold) {
 			back = b.surplus(e)
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -254,7 +254,7 @@
 	case seen.complete && held < c.least && c.last == seen:
 		b.resolve(e, Exhausted, held, "all_asked_twice")
 		return
-	case b.pacing.prompt && seen.complete && held >= c.least:
+	case b.pacing.even && seen.complete && held >= c.least:
 		b.resolve(e, OutOfReach, free, "reserved_by_others")
 		return
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -253,7 +253,7 @@
 }
 
 // lookup tells a caller where to connect.
-func (r *Relay) lookup(platform.Place) ([]netip.AddrPort, time.Duration) {
+func (r *Relay) lookup() ([]netip.AddrPort, time.Duration) {
 	s := r.shared.Load()
 	return s.addresses, s.lifetime
 }
