core/sched: routers take turns at an endpoint with their suspects

Cause: a router kept a request whose run ended with a crash apart from its own suspects only. The crash that makes suspects makes them at several routers in the same moment, and each sent its own to the endpoint that was left; the next crash then counted for the harmless ones too, and a third one quarantined them (spec "stops a request that crashes its engines, and serves the others"). Now routers tell at which endpoints suspects run, and take turns at each in an order that all know. Ruled out: a fixed division of the endpoints among the routers; with fewer endpoints than routers two still meet (the new test showed 3 at one endpoint). Before: the new test sees 4 suspects at one endpoint. After: one at most, and all are served.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -58,6 +58,9 @@
 type EndpointLoad struct {
 	Endpoint waxwingwall.Endpoint
 	Requests int
+
+	// Suspect is set if one of them is suspected of crashing endpoints.
+	Suspect bool
 }
 
 // peer is another router and the last it told.
@@ -188,7 +191,7 @@
 	d := Demand{
 		Seq:      s.seq,
 		Flows:    s.demands(now),
-		Loads:    s.loads(),
+		Loads:    s.loads(now),
 		Suspects: suspects,
 	}
 	var acts []effect.Action
@@ -228,13 +231,14 @@
 	slotParts = 4
 )
 
-func (s *Scheduler) loads() []EndpointLoad {
+func (s *Scheduler) loads(now time.Time) []EndpointLoad {
 	var all []EndpointLoad
 	for _, e := range s.endpoints {
 		if len(e.running) > 0 {
 			all = append(all, EndpointLoad{
 				Endpoint: e.spec.Name,
 				Requests: len(e.running),
+				Suspect:  s.holdsSuspect(now, e),
 			})
 		}
 	}
--- a/core/sched/offer.go
+++ b/core/sched/offer.go
@@ -76,6 +76,7 @@
 		work:     w,
 		seq:      s.seq,
 		offered:  now,
+		queued:   now,
 		deadline: w.Deadline,
 		pool:     p,
 		class:    c,
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -117,23 +117,7 @@
 	if float64(load)+1 > e.window {
 		return false
 	}
-	return !s.suspect(now, j) || !s.holdsSuspect(now, e)
-}
-
-// suspect reports whether runs of the job's fingerprint ended with a crash.
-func (s *Scheduler) suspect(now time.Time, j *job) bool {
-	return s.suspects.Len() > 0 && s.suspects.Crashes(now, j.work.Fingerprint) > 0
-}
-
-// holdsSuspect keeps suspects apart, so that the innocent are told from the
-// guilty.
-func (s *Scheduler) holdsSuspect(now time.Time, e *endpoint) bool {
-	for _, r := range e.running {
-		if s.suspect(now, r) {
-			return true
-		}
-	}
-	return false
+	return !s.suspect(now, j) || s.isolates(now, j, e)
 }
 
 // slowFor reports whether the endpoint's tokens come too slowly for the job, or
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -296,6 +296,80 @@
 		Expect(peer.offer("other", 0).Decision).To(Equal(sched.Queued))
 	})
 
+	// The crash of an engine makes suspects at all routers that had a run there,
+	// in the same moment, and each has to find a place for its own.
+	It("keeps the suspects of different routers apart", func() {
+		var fleet []*rig
+		var all []waxwingwall.Incarnation
+		for i := range 4 {
+			all = append(all, waxwingwall.Incarnation{
+				VM:   waxwingwall.VM(fmt.Sprintf("vm-%d", i)),
+				Boot: 1,
+			})
+		}
+		told := make([]int, len(all))
+		exchange := func() {
+			for i, from := range fleet {
+				sent := from.sends[told[i]:]
+				told[i] = len(from.sends)
+				for _, m := range sent {
+					for k, to := range fleet {
+						if all[k] == m.To {
+							to.step(effect.Received{
+								From:    all[i],
+								Message: m.Message,
+							})
+						}
+					}
+				}
+			}
+		}
+		for _, inc := range all {
+			r := newRig(sched.WithSelf(inc))
+			r.s.SetPeers(r.now, all)
+			r.s.SetEndpoints(r.now, endpoints(2))
+			fleet = append(fleet, r)
+		}
+		for range 50 {
+			for _, r := range fleet {
+				r.pass(20 * time.Millisecond)
+			}
+			exchange()
+		}
+		for i, r := range fleet {
+			r.offer("shop", 0, func(w *sched.Work) { w.Fingerprint = uint64(i) + 1 })
+			r.finish(r.last(), sched.Crashed)
+			Expect(len(r.dispatches)).To(BeNumerically("<=", 2))
+		}
+		running := func() map[waxwingwall.Endpoint]int {
+			at := map[waxwingwall.Endpoint]int{}
+			for _, r := range fleet {
+				for _, e := range r.s.Dump().Endpoints {
+					at[e.Name] += e.InFlight
+				}
+			}
+			return at
+		}
+		const work = 500 * time.Millisecond
+		started := map[*rig]time.Time{}
+		for range 200 {
+			exchange()
+			for _, n := range running() {
+				Expect(n).To(BeNumerically("<=", 1))
+			}
+			for _, r := range fleet {
+				r.pass(20 * time.Millisecond)
+				switch at, again := started[r]; {
+				case !again && r.last().Attempt > 1:
+					started[r] = r.now
+				case again && r.now.Sub(at) == work:
+					r.finish(r.last(), sched.None)
+				}
+			}
+		}
+		Expect(started).To(HaveLen(len(fleet)))
+	})
+
 	It("gives a leaving endpoint nothing new at once", func() {
 		r := newRig()
 		specs := endpoints(2)
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -272,6 +272,7 @@
 		s.retries.First()
 		s.preemptions.First()
 	}
+	s.tellSuspect(now, j)
 	return Dispatch{
 		Identity: j.work.Identity,
 		Attempt:  j.attempt,
@@ -431,6 +432,7 @@
 		s.retries.Take()
 		j.avoid = e
 		j.fresh = f == Silent && !e.lastSign.After(j.dispatched)
+		j.queued = now
 		j.flow.queue = append([]*job{j}, j.flow.queue...)
 		return nil
 	}
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -38,6 +38,9 @@
 	restUntil time.Time
 	failures  int
 
+	// suspected is when it was last known to run a suspect.
+	suspected time.Time
+
 	// lastSign is when one of its streams last carried something.
 	lastSign time.Time
 }
@@ -148,6 +151,9 @@
 	fresh      bool
 	dispatched time.Time
 
+	// queued is since when the job waits for a dispatch.
+	queued time.Time
+
 	// passed counts the later jobs that were started before this one.
 	passed int
 
