router: a router without a configuration asks callers to come back

Cause: until the first configuration was in force a router answered every key with 401 wrong_key, which no caller repeats.

--- a/front.go
+++ b/front.go
@@ -44,8 +44,10 @@
 
 // Front is what a router does for callers.
 type Front interface {
-	// Account returns the client account that a bearer key belongs to.
-	Account(key string) (Account, bool)
+	// Account returns the client account that a bearer key belongs to. A
+	// *Problem as error is the request's final answer: the key is unknown, or it
+	// can't be judged yet.
+	Account(key string) (Account, error)
 
 	// Serve starts a request. A *Problem as error is its final answer.
 	Serve(ctx context.Context, account Account, ask Ask) (Answer, error)
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -72,14 +72,9 @@
 
 // HandleBearer implements callerapi.SecurityHandler.
 func (h *handler) HandleBearer(ctx context.Context, _ callerapi.OperationName, t callerapi.Bearer) (context.Context, error) {
-	account, ok := h.front.Account(t.Token)
-	if !ok {
-		return ctx, &waxwingwall.Problem{
-			Status:  http.StatusUnauthorized,
-			Code:    "wrong_key",
-			Message: "no client account has this key",
-			Outcome: waxwingwall.NotRun,
-		}
+	account, err := h.front.Account(t.Token)
+	if err != nil {
+		return ctx, err
 	}
 	return context.WithValue(ctx, accountKey{}, account), nil
 }
--- /dev/null
+++ b/io/caller/caller_test.go
@@ -0,0 +1,30 @@
+package caller_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"waxwingwall/io/caller"
+	"waxwingwall/router"
+)
+
+// A caller that is told its key is wrong doesn't come back; one that meets a
+// router in its first moments has to.
+func TestNoConfigurationIsNoWrongKey(t *testing.T) {
+	g := NewWithT(t)
+	handler, err := caller.New(&router.Router{})
+	g.Expect(err).NotTo(HaveOccurred())
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions",
+		strings.NewReader(`{"model":"drafts","messages":[{"role":"user","content":"a"}]}`))
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer key")
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	g.Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(w.Header().Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(w.Body.String()).To(ContainSubstring(`"outcome":"not_run"`))
+}
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -45,12 +45,21 @@
 )
 
 // Account implements waxwingwall.Front.
-func (r *Router) Account(key string) (waxwingwall.Account, bool) {
+func (r *Router) Account(key string) (waxwingwall.Account, error) {
 	s := r.snapshot.Load()
 	if s == nil {
-		return "", false
+		return "", notReady()
 	}
-	return s.Keys.Match(key)
+	account, ok := s.Keys.Match(key)
+	if !ok {
+		return "", &waxwingwall.Problem{
+			Status:  http.StatusUnauthorized,
+			Code:    "wrong_key",
+			Message: "no client account has this key",
+			Outcome: waxwingwall.NotRun,
+		}
+	}
+	return account, nil
 }
 
 // BodyTimeout implements waxwingwall.Front.
