--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"waxwingwall/platform/standin"
+)
+
+// check compares what callers got with what endpoints ran.
+func check(t testing.TB, f *fleet, calls []*call) {
+	t.Helper()
+	runs := map[string][]standin.Run{}
+	for _, e := range f.all() {
+		for _, r := range e.Runs() {
+			runs[r.Call] = append(runs[r.Call], r)
+		}
+	}
+	asked := map[string]*call{}
+	used := int64(0)
+	for _, c := range calls {
+		asked[c.id] = c
+		checkRuns(t, c, runs[c.id])
+		delivered := checkAnswer(t, c)
+		if c.account == paid && delivered > 0 {
+			used += int64(c.prompt + delivered*eventTokens)
+		}
+	}
+	for id := range runs {
+		if asked[id] == nil && !strings.HasPrefix(id, again) {
+			t.Errorf("an endpoint ran %q, which nobody asked for", id)
+		}
+	}
+	if used > f.total {
+		t.Errorf("the prepaid account used %d of %d tokens", used, f.total)
+	}
+	t.Logf("%d calls, %d of %d prepaid tokens used", len(calls), used, f.total)
+}
+
+// checkRuns checks that a request ran as often as it may, and as it was sent.
+func checkRuns(t testing.TB, c *call, runs []standin.Run) {
+	t.Helper()
+	most := map[string]int{"draft": 1, "order": 1, "advice": 2, "quote": 2}[c.route]
+	if len(runs) > most {
+		t.Errorf("%s (%s at %s) ran %d times: %+v", c.id, c.route, c.router, len(runs), runs)
+	}
+	for _, r := range runs {
+		if r.Body != c.body || r.Target != "/"+c.route+"/x" || r.Account != c.account || r.Key != "" {
+			t.Errorf("%s ran as %+v", c.id, r)
+		}
+	}
+	switch c.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if len(runs) > 0 {
+			t.Errorf("%s (%s at %s) was told %d, not run, and ran: %s", c.id, c.route, c.router, c.status, c.text)
+		}
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		t.Errorf("%s (%s at %s) was told %d: %s", c.id, c.route, c.router, c.status, c.text)
+	}
+}
+
+// checkAnswer checks that an answer is the caller's own and whole, or doesn't look
+// so, and returns how many events were delivered.
+func checkAnswer(t testing.TB, c *call) int {
+	t.Helper()
+	if c.status != http.StatusOK {
+		return 0
+	}
+	by := strings.TrimPrefix(c.seal, "seal-")
+	if c.seal == "" {
+		t.Errorf("%s: a success that no endpoint gave", c.id)
+	}
+	if c.prompt == 0 {
+		if whole := fmt.Sprintf("done by %s: %s", by, c.body); c.err == nil && c.text != whole {
+			t.Errorf("%s got %q for %q", c.id, c.text, whole)
+		}
+		return 0
+	}
+	var whole strings.Builder
+	for i := range events {
+		fmt.Fprintf(&whole, "id: %d\ndata: piece %d\n\n", i+1, i+1)
+	}
+	if c.err == nil && c.text != whole.String() || !strings.HasPrefix(whole.String(), c.text) {
+		t.Errorf("%s (%s at %s, cut %v) got %q", c.id, c.route, c.router, c.err, c.text)
+	}
+	return strings.Count(c.text, "\n\n")
+}
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,367 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"waxwingwall/platform/standin"
+)
+
+const (
+	routers = 4
+	engines = 3
+	ledgers = 2
+
+	// grace is how long a stop may take.
+	grace = 5 * time.Second
+
+	// free and paid are the accounts; only paid has a budget.
+	free, paid = "free", "paid"
+
+	// firstTotal is what paid may use at first, topUp what each version adds.
+	firstTotal = 20_000
+	topUp      = 8_000
+
+	eventTokens = 5
+	events      = 6
+
+	// leaveTime is how long a leaving endpoint stays registered.
+	leaveTime = 2500 * time.Millisecond
+
+	// firstPort and ports are where routers listen: below what the system gives
+	// to outgoing connections, which could take a port while its router is down.
+	firstPort = 10_000
+	ports     = 10_000
+)
+
+// nextPort is tried next.
+var nextPort atomic.Uint32
+
+// fleet is a set of router processes, and what stands around them.
+type fleet struct {
+	t       testing.TB
+	dir     string
+	binary  string
+	store   *standin.Store
+	server  *httptest.Server
+	routers []*router
+
+	// mu guards what faults change.
+	mu        sync.Mutex
+	endpoints []*endpoint
+	past      []*endpoint
+	version   int64
+	total     int64
+	named     int
+}
+
+// router is one router process, and the one after it.
+type router struct {
+	name     string
+	at       string
+	ready    string
+	settings string
+	store    *proxy
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// endpoint is a stand-in behind a proxy.
+type endpoint struct {
+	*standin.Endpoint
+	service string
+	proxy   *proxy
+	stop    func()
+}
+
+func newFleet(t testing.TB, binary string) *fleet {
+	t.Helper()
+	f := &fleet{
+		t:      t,
+		dir:    t.TempDir(),
+		binary: binary,
+		store:  &standin.Store{},
+		total:  firstTotal,
+	}
+	f.server = httptest.NewServer(f.store)
+	t.Cleanup(f.server.Close)
+	for range engines {
+		f.addEndpoint("model")
+	}
+	for range ledgers {
+		f.addEndpoint("ledger")
+	}
+	f.configure(0)
+	for i := range routers {
+		f.addRouter(i)
+	}
+	for _, r := range f.routers {
+		f.eventually(r.name+" serves", func() bool { return standin.Ready("http://" + r.ready) })
+	}
+	return f
+}
+
+// addEndpoint starts an endpoint and registers it.
+func (f *fleet) addEndpoint(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.named++
+	e := &endpoint{
+		Endpoint: &standin.Endpoint{
+			ID:    fmt.Sprintf("%s-%d", service, f.named),
+			Pause: 15 * time.Millisecond,
+		},
+		service: service,
+	}
+	if service == "model" {
+		e.Events = events
+	}
+	e.stop = sync.OnceFunc(e.Start())
+	f.t.Cleanup(func() { e.stop() })
+	p, err := newProxy(e.Address())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.close)
+	e.proxy = p
+	e.Via = p.address()
+	f.store.Put("servers", e.ID, e.Entry(service, "ready"))
+	f.endpoints = append(f.endpoints, e)
+}
+
+// replaceEndpoint lets a new endpoint take the place of an old one, which leaves.
+func (f *fleet) replaceEndpoint(i int) {
+	f.mu.Lock()
+	k := i % len(f.endpoints)
+	old := f.endpoints[k]
+	f.endpoints = append(f.endpoints[:k], f.endpoints[k+1:]...)
+	f.past = append(f.past, old)
+	f.mu.Unlock()
+	f.addEndpoint(old.service)
+	f.store.Put("servers", old.ID, old.Entry(old.service, "draining"))
+	time.Sleep(leaveTime)
+	f.store.Drop("servers", old.ID)
+}
+
+// all returns the endpoints that there were.
+func (f *fleet) all() []*endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append(append([]*endpoint(nil), f.past...), f.endpoints...)
+}
+
+// live returns an endpoint that has not left.
+func (f *fleet) live(i int) *endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[i%len(f.endpoints)]
+}
+
+// configure puts the next version in force, with a larger budget.
+func (f *fleet) configure(more int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	f.total += more
+	f.store.Put("op", "config", standin.Configuration(
+		f.version,
+		standin.Account{
+			Name:    free,
+			Key:     "key-" + free,
+			Prepaid: -1,
+		},
+		standin.Account{
+			Name:    paid,
+			Key:     "key-" + paid,
+			Prepaid: f.total,
+		},
+	))
+}
+
+// addRouter starts a router with a proxy between it and the store.
+func (f *fleet) addRouter(i int) {
+	f.t.Helper()
+	p, err := newProxy(strings.TrimPrefix(f.server.URL, "http://"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(p.close)
+	name := fmt.Sprintf("vm-%d", i)
+	ports := freePorts(f.t, 5)
+	r := &router{
+		name:     name,
+		at:       ports[0],
+		ready:    ports[1],
+		settings: filepath.Join(f.dir, name+".ini"),
+		store:    p,
+	}
+	text := fmt.Sprintf(`[router]
+vm = %s
+domain = d%d
+[listen]
+callers = %s
+readiness = %s
+directory = %s
+peers = %s
+metrics = %s
+[store]
+address = %s
+[bounds]
+grace = %s
+retry_ratio = 0.2
+retry_reserve = 50
+retry_window = 10s
+[log]
+level = info
+format = json
+`, name, i%2, ports[0], ports[1], ports[2], ports[3], ports[4], p.address(), grace)
+	if err := os.WriteFile(r.settings, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.routers = append(f.routers, r)
+	f.start(r)
+	f.t.Cleanup(func() {
+		r.signal(syscall.SIGKILL)
+		<-r.ended()
+	})
+}
+
+// freePorts finds addresses that nothing listens at.
+func freePorts(t testing.TB, n int) []string {
+	t.Helper()
+	var all []string
+	for len(all) < n {
+		at := fmt.Sprintf("127.0.0.1:%d", firstPort+(uint32(os.Getpid())+nextPort.Add(1))%ports)
+		l, err := net.Listen("tcp", at)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		all = append(all, at)
+	}
+	return all
+}
+
+// start starts the router's next process.
+func (f *fleet) start(r *router) {
+	log, err := os.OpenFile(filepath.Join(f.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	cmd := exec.Command(f.binary, "edge", "--config", r.settings)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	done := make(chan struct{})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := cmd.Start(); err != nil {
+		f.t.Error(err)
+		return
+	}
+	r.cmd = cmd
+	r.done = done
+	go func() {
+		// How it ended is asked of its state.
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(done)
+	}()
+}
+
+// signal sends a signal to the process, if it has not ended.
+func (r *router) signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.done:
+	default:
+		// A process that has just ended needs none.
+		_ = r.cmd.Process.Signal(s)
+	}
+}
+
+func (r *router) ended() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done
+}
+
+// restart ends the process by a signal and starts the next one.
+func (f *fleet) restart(r *router, s syscall.Signal, pause time.Duration) {
+	r.signal(s)
+	done := r.ended()
+	select {
+	case <-done:
+	case <-time.After(grace + 3*time.Second):
+		r.signal(syscall.SIGCONT)
+		r.signal(syscall.SIGKILL)
+		<-done
+	}
+	time.Sleep(pause)
+	f.start(r)
+}
+
+// eventually waits for a condition.
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Errorf("not in time: %s", what)
+}
+
+// call is one request of a caller, and what came of it.
+type call struct {
+	id, route, account, body string
+	prompt                   int
+	router                   string
+	began, ended             time.Time
+	status                   int
+	seal, text               string
+	err                      error
+}
+
+// ask makes a request.
+func (c *call) ask(client *http.Client, at string) {
+	c.began = time.Now()
+	defer func() { c.ended = time.Now() }()
+	req, err := http.NewRequest(http.MethodPost, "http://"+at+"/"+c.route+"/x", strings.NewReader(c.body))
+	if err != nil {
+		c.err = err
+		return
+	}
+	req.Host = "a.example"
+	output := 0
+	if c.prompt > 0 {
+		output = events * eventTokens
+	}
+	standin.Head(req.Header, c.id, "key-"+c.account, c.prompt, output)
+	resp, err := client.Do(req)
+	if err != nil {
+		c.err = err
+		return
+	}
+	defer resp.Body.Close()
+	c.status = resp.StatusCode
+	c.seal = standin.Seal(resp.Header)
+	text, err := io.ReadAll(resp.Body)
+	c.text = string(text)
+	c.err = err
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,342 @@
+// Package soak plays days of faults against router processes. The processes are
+// the real program; faults come from outside: proxies between them and what they
+// speak to, signals, and a store that forgets. What is promised is judged by what
+// callers and endpoints saw.
+//
+// A seed decides which faults come when. SOAK_SEEDS=50 plays so many, from
+// SOAK_FIRST on; otherwise the seeds that once failed are played, and a few more.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failed are the seeds that found something once, with its cause.
+var failed = map[uint64]string{}
+
+// usual are the seeds of every run.
+var usual = []uint64{1, 2}
+
+const (
+	callers = 12
+
+	// trouble is how long faults begin, faults how many there are.
+	trouble = 7 * time.Second
+	faults  = 12
+
+	// longest bounds a fault.
+	longest = 3 * time.Second
+
+	// recovery is how long the fleet gets once all faults are over: more than the
+	// store's and the routers' memory of one another lasts.
+	recovery = 12 * time.Second
+
+	// again begins the names of calls that ask whether a router serves.
+	again = "again-"
+
+	// parallel is how many fleets are played at the same time.
+	parallel = 4
+)
+
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "waxwingwall")
+	if out, err := exec.Command("go", "build", "-o", binary, "waxwingwall/cmd/waxwingwall").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	slots := make(chan struct{}, parallel)
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			play(t, binary, seed)
+		})
+	}
+}
+
+// seeds returns what to play.
+func seeds(t *testing.T) []uint64 {
+	number := func(name string) uint64 {
+		n, err := strconv.ParseUint(os.Getenv(name), 10, 64)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		return n
+	}
+	if os.Getenv("SOAK_SEEDS") == "" {
+		all := usual
+		for seed := range failed {
+			all = append(all, seed)
+		}
+		return all
+	}
+	var all []uint64
+	first := number("SOAK_FIRST")
+	for i := range number("SOAK_SEEDS") {
+		all = append(all, first+i)
+	}
+	return all
+}
+
+// play plays one seed.
+func play(t *testing.T, binary string, seed uint64) {
+	f := newFleet(t, binary)
+	defer func() {
+		if t.Failed() {
+			keep(t, f, seed)
+		}
+	}()
+	load := f.startLoad(seed, "storm")
+	rng := rand.New(rand.NewPCG(seed, 0))
+	var working sync.WaitGroup
+	began := time.Now()
+	for range faults {
+		x := fault{
+			at:   time.Duration(rng.Int64N(int64(trouble))),
+			last: time.Duration(rng.Int64N(int64(longest))),
+			kind: rng.IntN(kinds),
+			on:   rng.IntN(1 << 16),
+			mode: mode(1 + rng.IntN(modes-1)),
+		}
+		working.Go(func() {
+			time.Sleep(x.at)
+			t.Logf("%.1f s: %s", time.Since(began).Seconds(), x)
+			f.inject(x)
+		})
+	}
+	working.Wait()
+	time.Sleep(recovery - trouble)
+	calls := load.stop()
+	calm := f.calm(seed)
+	check(t, f, append(calls, calm...))
+	f.eventually("every router stops", func() bool {
+		for _, r := range f.routers {
+			r.signal(syscall.SIGTERM)
+			select {
+			case <-r.ended():
+			case <-time.After(grace):
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// fault is one thing that goes wrong.
+type fault struct {
+	at, last time.Duration
+	kind, on int
+	mode     mode
+}
+
+// The kinds of faults.
+const (
+	killed = iota
+	stopped
+	paused
+	hungUp
+	allKilled
+	storeLink
+	storeLinks
+	endpointLink
+	storeDown
+	answersLost
+	historyLost
+	raised
+	replaced
+	broken
+	kinds
+)
+
+func (x fault) String() string {
+	name := [...]string{
+		"killed", "stopped", "paused", "hung up", "all killed", "store link", "store links", "endpoint link",
+		"store down", "answers lost", "history lost", "budget raised", "endpoint replaced", "answers broken",
+	}[x.kind]
+	return fmt.Sprintf("%s, %d, %v, for %v", name, x.on%routers, x.mode, x.last.Round(time.Millisecond))
+}
+
+// inject lets a fault happen, and returns when it is over.
+func (f *fleet) inject(x fault) {
+	r := f.routers[x.on%routers]
+	e := f.live(x.on)
+	switch x.kind {
+	case killed:
+		f.restart(r, syscall.SIGKILL, x.last/2)
+	case stopped:
+		f.restart(r, syscall.SIGTERM, 0)
+	case paused:
+		r.signal(syscall.SIGSTOP)
+		time.Sleep(x.last)
+		r.signal(syscall.SIGCONT)
+	case hungUp:
+		r.signal(syscall.SIGHUP)
+	case allKilled:
+		var working sync.WaitGroup
+		for _, r := range f.routers {
+			working.Go(func() { f.restart(r, syscall.SIGKILL, x.last/4) })
+		}
+		working.Wait()
+	case storeLink:
+		during(x, r.store)
+	case storeLinks:
+		var all []*proxy
+		for _, r := range f.routers {
+			all = append(all, r.store)
+		}
+		during(x, all...)
+	case endpointLink:
+		during(x, e.proxy)
+	case storeDown:
+		f.store.Down(true)
+		time.Sleep(x.last)
+		f.store.Down(false)
+	case answersLost:
+		f.store.Lose(5)
+	case historyLost:
+		f.store.Compact()
+	case raised:
+		f.configure(topUp)
+	case replaced:
+		f.replaceEndpoint(x.on)
+	case broken:
+		e.Break(3, x.on%events)
+	}
+}
+
+// during changes what proxies do for a while.
+func during(x fault, all ...*proxy) {
+	for _, p := range all {
+		p.set(x.mode)
+	}
+	time.Sleep(x.last)
+	for _, p := range all {
+		p.set(open)
+	}
+}
+
+// calm stops one router after the other while nothing else goes wrong: every
+// router has to serve, and no answer may be cut.
+func (f *fleet) calm(seed uint64) []*call {
+	f.t.Helper()
+	for _, r := range f.routers {
+		client := &http.Client{
+			Transport: &http.Transport{},
+		}
+		n := 0
+		f.eventually(r.name+" serves again", func() bool {
+			n++
+			c := &call{
+				route:   "quote",
+				account: free,
+				id:      fmt.Sprintf("%s%s-%d", again, r.name, n),
+			}
+			c.ask(client, r.at)
+			return c.status == http.StatusOK
+		})
+		client.CloseIdleConnections()
+	}
+	load := f.startLoad(seed, "calm")
+	time.Sleep(300 * time.Millisecond)
+	for _, r := range f.routers[:2] {
+		f.restart(r, syscall.SIGTERM, 0)
+	}
+	calls := load.stop()
+	for _, c := range calls {
+		if c.err != nil && c.status != 0 {
+			f.t.Errorf("%s (%s at %s) was cut in a graceful stop: %v", c.id, c.route, c.router, c.err)
+		}
+	}
+	return calls
+}
+
+// load is a number of callers that ask until they are stopped.
+type load struct {
+	working sync.WaitGroup
+	done    chan struct{}
+	mu      sync.Mutex
+	calls   []*call
+}
+
+func (l *load) stop() []*call {
+	close(l.done)
+	l.working.Wait()
+	return l.calls
+}
+
+// startLoad starts callers, each with connections of its own that it keeps while
+// it can.
+func (f *fleet) startLoad(seed uint64, name string) *load {
+	l := &load{
+		done: make(chan struct{}),
+	}
+	for i := range callers {
+		rng := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		l.working.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			client := &http.Client{
+				Transport: transport,
+				Timeout:   5 * time.Second,
+			}
+			for n := 0; ; n++ {
+				select {
+				case <-l.done:
+					return
+				case <-time.After(time.Duration(rng.IntN(60)) * time.Millisecond):
+				}
+				r := f.routers[rng.IntN(routers)]
+				c := newCall(rng, fmt.Sprintf("%s-%d-%d", name, i, n), r.name)
+				c.ask(client, r.at)
+				l.mu.Lock()
+				l.calls = append(l.calls, c)
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+// newCall draws a request.
+func newCall(rng *rand.Rand, id, at string) *call {
+	c := &call{
+		id:      id,
+		router:  at,
+		route:   [...]string{"draft", "advice", "order", "quote"}[rng.IntN(4)],
+		account: [...]string{free, paid}[rng.IntN(2)],
+		body:    "body of " + id,
+	}
+	if c.route == "draft" || c.route == "advice" {
+		c.prompt = 20 + rng.IntN(200)
+	}
+	return c
+}
+
+// keep copies the logs of a failed seed to where they outlive the test.
+func keep(t *testing.T, f *fleet, seed uint64) {
+	to, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for _, r := range f.routers {
+		data, err := os.ReadFile(filepath.Join(f.dir, r.name+".log"))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(to, r.name+".log"), data, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	t.Logf("seed %d failed; its logs are in %s", seed, to)
+}
