soak: a router is restarted once

Cause: two faults that restart the same router at the same time started two processes and forgot one; it outlived its fleet, and its store calls met an endpoint of another fleet that had got the port. Five of fifty seeds (102, 119, 135, 137, 146) said that an endpoint ran what nobody asked for. Ruled out: the product; the run's target was a call of the store. Now a start is skipped if the process before was followed already. The five seeds are kept.

--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -28,9 +28,9 @@
 			used += int64(c.prompt + delivered*eventTokens)
 		}
 	}
-	for id := range runs {
+	for id, all := range runs {
 		if asked[id] == nil && !strings.HasPrefix(id, again) {
-			t.Errorf("an endpoint ran %q, which nobody asked for", id)
+			t.Errorf("an endpoint ran %q, which nobody asked for: %+v", id, all)
 		}
 	}
 	if used > f.total {
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -77,7 +77,7 @@
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
-	done chan struct{}
+	done <-chan struct{}
 }
 
 // endpoint is a stand-in behind a proxy.
@@ -233,7 +233,7 @@
 		f.t.Fatal(err)
 	}
 	f.routers = append(f.routers, r)
-	f.start(r)
+	f.start(r, nil)
 	f.t.Cleanup(func() {
 		r.signal(syscall.SIGKILL)
 		<-r.ended()
@@ -256,19 +256,24 @@
 	return all
 }
 
-// start starts the router's next process.
-func (f *fleet) start(r *router) {
+// start starts the router's next process, unless that was done since the one
+// before ended.
+func (f *fleet) start(r *router, before <-chan struct{}) {
 	log, err := os.OpenFile(filepath.Join(f.dir, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		f.t.Error(err)
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.done != before {
+		_ = log.Close()
+		return
+	}
 	cmd := exec.Command(f.binary, "edge", "--config", r.settings)
 	cmd.Stdout = log
 	cmd.Stderr = log
 	done := make(chan struct{})
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if err := cmd.Start(); err != nil {
 		f.t.Error(err)
 		return
@@ -313,7 +318,7 @@
 		<-done
 	}
 	time.Sleep(pause)
-	f.start(r)
+	f.start(r, done)
 }
 
 // eventually waits for a condition.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,11 +9,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -22,7 +24,17 @@
 )
 
 // failed are the seeds that found something once, with its cause.
-var failed = map[uint64]string{}
+var failed = map[uint64]string{
+	102: twice,
+	119: twice,
+	135: twice,
+	137: twice,
+	146: twice,
+}
+
+// twice was a fault of the soak itself: two faults restarted one router at the
+// same time, and the process that nobody knew of outlived its fleet.
+const twice = "a router started twice"
 
 // usual are the seeds of every run.
 var usual = []uint64{1, 2}
@@ -59,6 +71,9 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
+			if cause := failed[seed]; cause != "" {
+				t.Log("failed once: " + cause)
+			}
 			play(t, binary, seed)
 		})
 	}
@@ -74,11 +89,7 @@
 		return n
 	}
 	if os.Getenv("SOAK_SEEDS") == "" {
-		all := usual
-		for seed := range failed {
-			all = append(all, seed)
-		}
-		return all
+		return append(usual, slices.Sorted(maps.Keys(failed))...)
 	}
 	var all []uint64
 	first := number("SOAK_FIRST")
