core/edge: routers on full links refuse what they can't know or send

An account's callers stay with such a router though no answer lists it, and what they send fills its link by itself: bodies took 8.4 Mbit/s, and the time for a new connection rose from 24 to 363 ms within a second and past the 400 ms after which it was given up on, from when on all failed and were tried again elsewhere. The store's news was as late. The quickest of the last new connections tells the link's queue; it gives connections more time, and refuses from one second on, probes aside. A router that heard of a newer version doesn't call anything unknown.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -30,12 +30,21 @@
 	if e.rules.version == 0 {
 		return e.unavailable("not_ready", "no configuration yet", backSoon)
 	}
+	if e.outdated(oldTime) {
+		return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
+	}
 	r.route = e.rules.route(r.call.Host, r.call.Path)
+	if r.route == nil && e.outdated(0) {
+		return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
+	}
 	if r.route == nil {
 		return notServed(http.StatusNotFound, "no_route", "no route has this host and path")
 	}
 	r.account = e.rules.accounts[r.call.Key]
 	if r.account == nil && !r.route.Open && len(e.rules.configuration.Accounts) > 0 {
+		if e.outdated(0) {
+			return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
+		}
 		return notServed(http.StatusUnauthorized, "unknown_key", "the key is not in force")
 	}
 	if e.leaving() {
@@ -57,7 +66,7 @@
 	if e.suspects.table.Blocked(e.now, r.call.Fingerprint) {
 		return e.unavailable("quarantined", "this request crashed the endpoints that ran it", suspectTime)
 	}
-	return nil
+	return e.linkRefusal(r)
 }
 
 // fundRequest reserves what the request can cost at most.
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -107,13 +107,15 @@
 	closers []*closing
 
 	// The tables.
-	rules     rules
-	endpoints endpoints
-	requests  map[uint64]*request
-	retries   map[waxwingwall.Model]*allowance
-	suspects  suspects
-	nodes     nodes
-	news      gossip
+	rules      rules
+	endpoints  endpoints
+	requests   map[uint64]*request
+	retries    map[waxwingwall.Model]*allowance
+	suspects   suspects
+	nodes      nodes
+	news       gossip
+	link       link
+	departures departures
 
 	// drain is when a graceful stop began; zero before.
 	drain time.Time
@@ -204,6 +206,8 @@
 	case effect.Transacted:
 		e.registering(ev)
 		e.stepParts(ev)
+	case Dialed:
+		e.dialed(ev)
 	case effect.Tick:
 		e.stepParts(ev)
 		e.tick()
@@ -221,6 +225,7 @@
 	e.closeDead()
 	e.gossip()
 	e.endpoints.tick(e.now)
+	e.probeLink()
 	e.countCrashes()
 	e.suspects.tick(e.now)
 	e.expire()
--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -44,6 +44,7 @@
 		Whole:    true,
 		Replicas: append(engines(4), ledgers(3)...),
 		Revision: 10,
+		Asked:    b.now,
 	})
 	return b
 }
@@ -545,3 +546,84 @@
 		t.Error("ended twice")
 	}
 }
+
+// A router that hears late from the store learns from its peers which endpoints
+// leave, until the store's own word is as new.
+func TestDeparturesFromPeers(t *testing.T) {
+	b := newBench(t)
+	peer := waxwingwall.Incarnation{VM: "vm-2", Boot: 1}
+	left := ledgers(3)
+	for _, r := range left[:2] {
+		b.step(effect.Received{From: peer, Message: Report{
+			Departures: []Departure{{Endpoint: r.Endpoint, Revision: 15}},
+		}})
+	}
+	at := func() waxwingwall.Endpoint {
+		_, out := b.arrive(call("quote"))
+		d := only[Dispatch](b, out)
+		b.ended(d, Ended{Result: Whole, Committed: true})
+		return d.Handover.Endpoint
+	}
+	for range 10 {
+		if id := at(); id != left[2].Endpoint {
+			t.Fatalf("sent to %s, which leaves", id)
+		}
+	}
+	b.now = b.now.Add(2 * time.Second)
+	b.step(Replicas{Revision: 16})
+	seen := map[waxwingwall.Endpoint]bool{}
+	for range 40 {
+		seen[at()] = true
+	}
+	if len(seen) != 3 {
+		t.Errorf("after the store's word only %v", seen)
+	}
+}
+
+// What the store says of endpoints that leave is told to the peers.
+func TestDeparturesAreTold(t *testing.T) {
+	b := newBench(t)
+	left := ledgers(3)
+	left[0].Leaving = true
+	b.step(Replicas{Replicas: left[:1], Revision: 11})
+	b.step(Replicas{Gone: []waxwingwall.Endpoint{left[1].Endpoint}, Revision: 12})
+	told := b.edge.report().Departures
+	if len(told) != 2 || told[0].Endpoint != left[1].Endpoint || told[0].Revision != 12 || told[1].Revision != 11 {
+		t.Errorf("told %+v", told)
+	}
+	b.now = b.now.Add(2 * departureTime)
+	b.step(effect.Tick{})
+	if told := b.edge.report().Departures; len(told) != 0 {
+		t.Errorf("still told %+v", told)
+	}
+}
+
+// A router that heard of a newer configuration calls nothing unknown by its old
+// one, and soon goes by it no more.
+func TestOldConfigurationRefuses(t *testing.T) {
+	b := newBench(t)
+	peer := waxwingwall.Incarnation{VM: "vm-2", Boot: 1}
+	b.step(effect.Received{From: peer, Message: Report{Version: 2, Revision: 10}})
+	unknown := call("quote")
+	unknown.Path = "/nowhere/"
+	stranger := call("quote")
+	stranger.Key = "new key"
+	for _, c := range []waxwingwall.Call{unknown, stranger} {
+		_, out := b.arrive(c)
+		if p := only[Refuse](b, out).Problem; p.Code != "old_configuration" || p.Outcome != waxwingwall.NotRun {
+			t.Errorf("%+v", p)
+		}
+	}
+	_, out := b.arrive(call("quote"))
+	only[Dispatch](b, out)
+	b.now = b.now.Add(oldTime)
+	_, out = b.arrive(call("quote"))
+	if p := only[Refuse](b, out).Problem; p.Code != "old_configuration" {
+		t.Errorf("%+v", p)
+	}
+	b.step(Configured{Configuration: testConfiguration(2)})
+	_, out = b.arrive(unknown)
+	if p := only[Refuse](b, out).Problem; p.Code != "no_route" {
+		t.Errorf("%+v", p)
+	}
+}
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -43,6 +43,10 @@
 	seen    time.Time
 	dropped time.Time
 
+	// departs is the revision as of which a peer says that it leaves; it counts
+	// until the store's own word is as new.
+	departs int64
+
 	// failures counts failed connections in a row, avoid is until when it gets
 	// no work while others can.
 	failures int
@@ -84,6 +88,9 @@
 	revision int64
 	whole    bool
 
+	// asked is when the store was asked for what is known.
+	asked time.Time
+
 	// lost is set while the store can't be read; since is when it could be read
 	// again.
 	lost  bool
@@ -105,6 +112,7 @@
 		}
 		return
 	}
+	t.asked = ev.Asked
 	if t.lost {
 		t.lost = false
 		t.since = e.now
@@ -130,6 +138,11 @@
 		slices.Sort(ev.Gone)
 	}
 	t.revision = max(t.revision, ev.Revision)
+	for _, row := range t.rows {
+		if row.departs <= t.revision {
+			row.departs = 0
+		}
+	}
 	for _, r := range ev.Replicas {
 		e.listed(r, from)
 	}
@@ -160,6 +173,9 @@
 			field("endpoint", r.Endpoint), field("leaving", r.Leaving),
 			field("revision", t.revision), field("from", from))
 	}
+	if r.Leaving && !old.replica.Leaving {
+		e.departed(r.Endpoint)
+	}
 	old.dropped = time.Time{}
 	if old.replica.Born != r.Born {
 		old.parts = map[uint64]time.Time{}
@@ -192,6 +208,7 @@
 		}
 		return
 	}
+	e.departed(id)
 	e.gone(row, from)
 }
 
@@ -246,7 +263,7 @@
 
 // usable reports whether an endpoint may get new work at all.
 func (r *endpoint) usable() bool {
-	return !r.replica.Leaving
+	return !r.replica.Leaving && r.departs == 0
 }
 
 // fault takes in the end of a run.
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -124,6 +124,9 @@
 	// Revision orders what is told.
 	Revision int64
 
+	// Asked is when the store was asked: what changed before is known.
+	Asked time.Time
+
 	// Lost is set if the store can't be read; the rest is empty then.
 	Lost bool
 }
@@ -159,6 +162,9 @@
 	// Until is when the request's time is over.
 	Until time.Time
 
+	// Dial is how long to wait for a connection; zero stands for the usual time.
+	Dial time.Duration
+
 	// First bounds the silence before the answer, Pause that between its
 	// parts; zero stands for no bound but Until.
 	First, Pause time.Duration
@@ -171,6 +177,15 @@
 	Hold bool
 }
 
+// Probe asks for a new connection to an endpoint, to be told how long it takes.
+type Probe struct {
+	effect.IsAction
+
+	// Address is the endpoint's; Dial is how long to wait.
+	Address netip.AddrPort
+	Dial    time.Duration
+}
+
 // Refuse ends a request of which the caller has got nothing.
 type Refuse struct {
 	effect.IsAction
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -28,6 +28,10 @@
 	// better.
 	askPause = 300 * time.Millisecond
 
+	// oldTime is how long a router may go by a configuration though it heard of a
+	// newer one: operators want it in force everywhere within 2 s.
+	oldTime = time.Second
+
 	// behindTime is how long the store gets to tell what a peer knows already.
 	behindTime = 200 * time.Millisecond
 )
@@ -55,6 +59,9 @@
 	// Loads are the endpoints at which it runs anything.
 	Loads []EndpointLoad
 
+	// Departures are endpoints that leave.
+	Departures []Departure
+
 	// Reads are the parts of prompts that it sent to endpoints since its last
 	// report, those of a single caller left out.
 	Reads []PartRead
@@ -102,6 +109,11 @@
 	// reports are the newest of each peer.
 	reports map[waxwingwall.Incarnation]report
 
+	// newest is the newest version of the configuration that a peer has, heard
+	// when that was first told.
+	newest int64
+	heard  time.Time
+
 	// behind is since when a peer is known to know more, asked when one was
 	// last asked.
 	behind time.Time
@@ -129,9 +141,10 @@
 // report returns what this router runs and knows.
 func (e *Edge) report() Report {
 	r := Report{
-		Version:  e.rules.version,
-		Revision: e.endpoints.revision,
-		Reads:    e.news.reads,
+		Version:    e.rules.version,
+		Revision:   e.endpoints.revision,
+		Departures: e.departures.list(e.now),
+		Reads:      e.news.reads,
 	}
 	e.news.reads = nil
 	for _, s := range e.rules.configuration.Services {
@@ -205,6 +218,7 @@
 				row.parts[read.Part] = e.now
 			}
 		}
+		e.heardDepartures(m.Departures)
 		e.compare(ev.From, m)
 	case AskNews:
 		e.answer(ev.From, m)
@@ -220,6 +234,10 @@
 // compare asks a peer that has known more for a while.
 func (e *Edge) compare(from waxwingwall.Incarnation, m Report) {
 	g := &e.news
+	if m.Version > g.newest {
+		g.newest = m.Version
+		g.heard = e.now
+	}
 	newer := m.Version > e.rules.version || m.Revision > e.endpoints.revision && (e.endpoints.lost || !e.endpoints.whole)
 	if !newer {
 		g.behind = time.Time{}
@@ -238,6 +256,11 @@
 	})
 }
 
+// outdated reports whether a peer has had a newer configuration for so long.
+func (e *Edge) outdated(since time.Duration) bool {
+	return e.news.newest > e.rules.version && e.now.Sub(e.news.heard) >= since
+}
+
 // answer tells a peer what it lacks.
 func (e *Edge) answer(to waxwingwall.Incarnation, m AskNews) {
 	var n News
--- a/core/edge/load_test.go
+++ b/core/edge/load_test.go
@@ -220,3 +220,103 @@
 		t.Errorf("%d listed of one slow router", len(all))
 	}
 }
+
+// dialTimes tells of new connections to endpoints, one after the other.
+func (b *bench) dialTimes(took ...time.Duration) {
+	for i, d := range took {
+		b.step(Dialed{
+			Address: netip.AddrPortFrom(netip.MustParseAddr("10.9.0.1"), uint16(1+i%4)),
+			Took:    d,
+		})
+	}
+}
+
+// TestFullLinkRefuses: callers that stay with a router whose link is too slow for
+// them. What would wait in the link's queue for longer than the news of leaving
+// endpoints may take is refused at once, and endpoints aren't blamed.
+func TestFullLinkRefuses(t *testing.T) {
+	b := newBench(t)
+	b.dialTimes(1200*time.Millisecond, 1100*time.Millisecond, 1300*time.Millisecond, 1500*time.Millisecond)
+	_, out := b.arrive(prompt(1, 2))
+	p := only[Refuse](b, out).Problem
+	if p.Code != "link_full" || p.Outcome != waxwingwall.NotRun || p.RetryAfter <= 0 {
+		t.Errorf("%+v", p)
+	}
+	probes := 0
+	for range 40 {
+		b.now = b.now.Add(50 * time.Millisecond)
+		for _, a := range b.step(effect.Tick{}) {
+			if probe, ok := a.(Probe); ok {
+				probes++
+				b.step(Dialed{
+					Address: probe.Address,
+					Took:    5 * time.Millisecond,
+				})
+			}
+		}
+	}
+	if probes == 0 || probes > 8 {
+		t.Errorf("%d probes", probes)
+	}
+	_, out = b.arrive(prompt(1, 3))
+	only[Dispatch](b, out)
+}
+
+// TestSlowLinkWaits: bytes queue on the link for a third of a second. Connections
+// get the time that they need, and a try that failed is no mark against its
+// endpoint.
+func TestSlowLinkWaits(t *testing.T) {
+	b := newBench(t)
+	b.dialTimes(400*time.Millisecond, 350*time.Millisecond, 400*time.Millisecond, 300*time.Millisecond)
+	r, out := b.arrive(prompt(1, 2))
+	d := only[Dispatch](b, out)
+	if d.Dial < 600*time.Millisecond {
+		t.Errorf("dial %v", d.Dial)
+	}
+	_ = r
+	b.ended(d, Ended{Result: Unreached})
+	for _, e := range b.edge.Dump(b.now).Endpoints {
+		if e.Avoid > 0 {
+			t.Errorf("%s is avoided for %v", e.Replica.Endpoint, e.Avoid)
+		}
+	}
+}
+
+// TestSlowEndpointIsNoSlowLink: one endpoint is out of reach while others answer.
+func TestSlowEndpointIsNoSlowLink(t *testing.T) {
+	b := newBench(t)
+	b.dialTimes(1500*time.Millisecond, 3*time.Millisecond, 1500*time.Millisecond, 1500*time.Millisecond)
+	_, out := b.arrive(prompt(1, 2))
+	if d := only[Dispatch](b, out); d.Dial != 0 {
+		t.Errorf("dial %v", d.Dial)
+	}
+	b.now = b.now.Add(2 * linkMemory)
+	b.step(effect.Tick{})
+	for range 6 {
+		b.step(Dialed{
+			Address: netip.MustParseAddrPort("10.9.0.1:1"),
+			Took:    1500 * time.Millisecond,
+		})
+	}
+	_, out = b.arrive(prompt(1, 3))
+	only[Dispatch](b, out)
+}
+
+// TestOldNewsOverSlowLink: the store's answers are held up on a link on which
+// bytes queue. What is known of endpoints is too old to go by, which it isn't
+// while the store is away and the link is free.
+func TestOldNewsOverSlowLink(t *testing.T) {
+	b := newBench(t)
+	b.step(Replicas{Revision: 11, Asked: b.now})
+	b.now = b.now.Add(staleNews + time.Second)
+	_, out := b.arrive(call("quote"))
+	b.ended(only[Dispatch](b, out), Ended{Result: Whole, Committed: true})
+	b.dialTimes(400*time.Millisecond, 350*time.Millisecond, 400*time.Millisecond, 300*time.Millisecond)
+	_, out = b.arrive(call("quote"))
+	if p := only[Refuse](b, out).Problem; p.Code != "link_full" || p.RetryAfter <= 0 {
+		t.Errorf("%+v", p)
+	}
+	b.step(Replicas{Revision: 12, Asked: b.now})
+	_, out = b.arrive(call("quote"))
+	only[Dispatch](b, out)
+}
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -117,6 +117,7 @@
 			Offset:   r.resume(),
 		},
 		Until:  r.until,
+		Dial:   e.dialTime(),
 		Stream: r.route.Kind == waxwingwall.Streaming,
 		Hold:   r.route.Idempotent() && r.runs+1 < r.route.Attempts,
 	}
@@ -235,6 +236,9 @@
 			e.replacedAt(row)
 		}
 	case Unreached:
+		if e.link.queue(e.now) > 0 {
+			break
+		}
 		row.unreached(e.now)
 		e.confirmCrash(row)
 	case Broken:
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -87,6 +87,12 @@
 	// part of its body; zero stands for no bound but the context's.
 	First, Pause time.Duration
 
+	// Dial bounds the wait for a new connection; zero stands for the usual time.
+	Dial time.Duration
+
+	// Dialed, if set, is told how long a new connection took or was waited for.
+	Dialed func(took time.Duration)
+
 	// Match reports whether the head of an answer belongs to this request.
 	Match func(http.Header) bool
 }
@@ -177,7 +183,21 @@
 		}
 		_ = c.Close()
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", r.Address.String())
+	began := time.Now()
+	c, err := p.dial(ctx, r.Address, r.Dial)
+	if r.Dialed != nil {
+		r.Dialed(time.Since(began))
+	}
+	return c, err
+}
+
+// dial makes a connection; a patience of zero stands for the usual time.
+func (p *Pool) dial(ctx context.Context, to netip.AddrPort, patience time.Duration) (*conn, error) {
+	dialer := *p.dialer
+	if patience > 0 {
+		dialer.Timeout = patience
+	}
+	nc, err := dialer.DialContext(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, trace.Wrap(ErrUnreached, "%v", err)
 	}
@@ -187,10 +207,21 @@
 	return &conn{
 		Conn:   nc,
 		reader: bufio.NewReaderSize(nc, bufferBytes),
-		addr:   r.Address,
+		addr:   to,
 	}, nil
 }
 
+// Open makes a connection and keeps it for a request.
+func (p *Pool) Open(ctx context.Context, to netip.AddrPort, patience time.Duration) error {
+	c, err := p.dial(ctx, to, patience)
+	if err != nil {
+		return err
+	}
+	c.expires = time.Now().Add(idleMargin)
+	p.put(c)
+	return nil
+}
+
 // kept takes the most recently used connection to an address, or returns nil.
 func (p *Pool) kept(addr netip.AddrPort) *conn {
 	p.mu.Lock()
--- a/relay/control.go
+++ b/relay/control.go
@@ -85,6 +85,18 @@
 	})
 }
 
+// probe makes a connection to an endpoint, which is kept for a request.
+func (r *Relay) probe(a edge.Probe) {
+	began := time.Now()
+	if err := r.origins.Open(r.ctx, a.Address, a.Dial); err != nil {
+		r.log.WithError(err).WithField("address", a.Address.String()).Debug("probe_failed")
+	}
+	r.event(edge.Dialed{
+		Address: a.Address,
+		Took:    time.Since(began),
+	})
+}
+
 // perform carries out actions. It never waits.
 func (r *Relay) perform(now time.Time, actions []effect.Action) {
 	for _, a := range actions {
@@ -110,6 +122,8 @@
 		r.note(now, a)
 	case edge.Drained:
 		r.drainedOnce.Do(func() { close(r.drained) })
+	case edge.Probe:
+		r.goDo(func() { r.probe(a) })
 	case edge.Dispatch:
 		r.tell(a.Request, a, false)
 	case edge.Refuse:
@@ -175,6 +189,7 @@
 			Replicas: n.Replicas,
 			Gone:     n.Gone,
 			Revision: n.Revision,
+			Asked:    n.Asked,
 			Lost:     n.Err != nil,
 		})
 	})
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -213,8 +213,15 @@
 		Host:    p.r.Host,
 		Header:  p.relay.wire.Forward(p.r.Header, d.Handover),
 		Body:    p.body,
+		Dial:    d.Dial,
 		First:   d.First,
 		Pause:   d.Pause,
+		Dialed: func(took time.Duration) {
+			p.relay.event(edge.Dialed{
+				Address: d.Address,
+				Took:    took,
+			})
+		},
 		Match: func(h http.Header) bool {
 			id := p.relay.wire.Reply(0, h).Call
 			return id == "" || id == p.call.ID
