relay, core/edge: metrics by rank and endpoint, one line for a request that is served

Counters and durations of requests have the rank, those of attempts the endpoint (the first 1,000 names), and a gauge tells how many events wait for a decision. A request whose caller went away is counted as caller_left; it was counted as served. The line `served` tells of the last attempt and the bill as well: two lines for a request instead of four.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -153,6 +153,9 @@
 	Request uint64
 	Attempt int
 
+	// Rank is the request's.
+	Rank waxwingwall.Rank
+
 	// Address is where to send it.
 	Address netip.AddrPort
 
@@ -190,8 +193,9 @@
 type Refuse struct {
 	effect.IsAction
 
-	// Request names the request.
+	// Request names the request; Rank is its own, if it has a route.
 	Request uint64
+	Rank    waxwingwall.Rank
 
 	// Problem is the answer.
 	Problem *waxwingwall.Problem
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -110,6 +110,7 @@
 	d := Dispatch{
 		Request: r.id,
 		Attempt: r.attempt,
+		Rank:    r.rank,
 		Address: c.endpoint.replica.Address,
 		Handover: waxwingwall.Handover{
 			Endpoint: c.endpoint.replica.Endpoint,
@@ -194,13 +195,15 @@
 		r.offset = ev.Offset
 	}
 	e.judge(r, row, ev)
+	if ev.Result == Whole {
+		e.finish(r, row, ev)
+		return
+	}
 	e.note("attempt_ended", r.call.ID,
 		field("attempt", ev.Attempt), field("endpoint", row.replica.Endpoint), field("result", ev.Result.String()),
 		field("status", ev.Status), field("committed", ev.Committed), field("events", ev.Events),
 		field("first", r.first), field("took", e.now.Sub(r.sent)), field("cause", ev.Err))
 	switch {
-	case ev.Result == Whole:
-		e.finish(r)
 	case ev.Committed && !(r.route.Kind == waxwingwall.Streaming && r.route.Resumable):
 		e.abort(r)
 	case e.again(r, ev):
@@ -326,6 +329,7 @@
 		field("version", e.rules.version))
 	e.do(Refuse{
 		Request: r.id,
+		Rank:    r.rank,
 		Problem: p,
 	})
 	e.forget(r)
@@ -341,11 +345,17 @@
 	e.forget(r)
 }
 
-// finish ends a request whose answer the caller has.
-func (e *Edge) finish(r *request) {
+// finish ends a request whose answer the caller has. Its one line tells of the
+// last attempt and the bill as well, as most requests end so.
+func (e *Edge) finish(r *request, row *endpoint, ev Ended) {
 	r.whole = true
-	e.settle(r)
-	e.note("served", r.call.ID, field("events", r.events), field("after", e.now.Sub(r.arrived)))
+	reserved := r.reserved
+	used := e.charge(r)
+	e.note("served", r.call.ID,
+		field("rank", r.rank), field("attempt", ev.Attempt), field("endpoint", row.replica.Endpoint),
+		field("status", ev.Status), field("events", r.events),
+		field("first", r.first), field("took", e.now.Sub(r.sent)), field("after", e.now.Sub(r.arrived)),
+		field("budget", r.budget), field("used", used), field("reserved", reserved))
 	e.do(Finished{
 		Request: r.id,
 	})
@@ -372,12 +382,20 @@
 	e.forget(r)
 }
 
-// settle charges what the caller got and frees the rest: the prompt, and each
+// settle charges what the caller got, and logs the bill.
+func (e *Edge) settle(r *request) {
+	if reserved := r.reserved; reserved > 0 && r.book == e.book {
+		used := e.charge(r)
+		e.note("billed", r.call.ID, field("budget", r.budget), field("used", used), field("reserved", reserved))
+	}
+}
+
+// charge charges what the caller got and frees the rest: the prompt, and each
 // event at its most tokens. A request of which the caller got nothing costs
 // nothing.
-func (e *Edge) settle(r *request) {
+func (e *Edge) charge(r *request) waxwingwall.Tokens {
 	if r.reserved == 0 || r.book != e.book {
-		return
+		return 0
 	}
 	var used waxwingwall.Tokens
 	if r.whole || r.events > 0 {
@@ -388,9 +406,9 @@
 		used = r.call.Prompt + waxwingwall.Tokens(r.events)*each
 	}
 	e.book.Settle(e.now, r.budget, r.reserved, used)
-	e.note("billed", r.call.ID, field("budget", r.budget), field("used", used), field("reserved", r.reserved))
 	r.reserved = 0
 	e.stepBook()
+	return used
 }
 
 // forget drops a request from the table.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 
+	"waxwingwall"
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/io/meter"
@@ -31,22 +33,38 @@
 	took     metric.Float64Histogram
 	firsts   metric.Float64Histogram
 	store    metric.Float64Histogram
+
+	// mu guards endpoints, the names that have a label of their own.
+	mu        sync.Mutex
+	endpoints map[waxwingwall.Endpoint]bool
 }
 
+// maxEndpoints bounds the labels of endpoints; later ones are counted as others.
+// Endpoints get new names when they are replaced.
+const maxEndpoints = 1000
+
 // newMetrics makes the instruments; they are read from a registry of their own.
-func newMetrics() (*metrics, error) {
+func newMetrics(waiting func() int) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
 		return nil, err
 	}
 	m := &metrics{
-		handler: handler,
-		close:   stop,
+		handler:   handler,
+		close:     stop,
+		endpoints: map[waxwingwall.Endpoint]bool{},
+	}
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(int64(waiting()))
+		return nil
+	}
+	if _, err = meter.Int64ObservableGauge("waxwingwall.edge.control_queue", metric.WithInt64Callback(observe), metric.WithDescription("Events that wait for a decision.")); err != nil {
+		return nil, trace.Wrap(err)
 	}
-	if m.requests, err = meter.Int64Counter("waxwingwall.edge.requests", metric.WithDescription("Requests that ended, by code.")); err != nil {
+	if m.requests, err = meter.Int64Counter("waxwingwall.edge.requests", metric.WithDescription("Requests that ended, by code and rank.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if m.attempts, err = meter.Int64Counter("waxwingwall.edge.attempts", metric.WithDescription("Attempts at endpoints, by result.")); err != nil {
+	if m.attempts, err = meter.Int64Counter("waxwingwall.edge.attempts", metric.WithDescription("Attempts, by endpoint and result.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if m.calls, err = meter.Int64Counter("waxwingwall.edge.store_calls", metric.WithDescription("Calls of the store, by result.")); err != nil {
@@ -67,7 +85,7 @@
 	if m.open, err = meter.Int64UpDownCounter("waxwingwall.edge.requests_open", metric.WithDescription("Requests that have not ended.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if m.took, err = meter.Float64Histogram("waxwingwall.edge.duration", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its end, by code.")); err != nil {
+	if m.took, err = meter.Float64Histogram("waxwingwall.edge.duration", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its end, by code and rank.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if m.firsts, err = meter.Float64Histogram("waxwingwall.edge.first_event", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to the head of its answer.")); err != nil {
@@ -95,8 +113,8 @@
 }
 
 // ended counts a request that ended.
-func (m *metrics) ended(code string, took time.Duration) {
-	with := metric.WithAttributes(attribute.String("code", code))
+func (m *metrics) ended(code string, rank waxwingwall.Rank, took time.Duration) {
+	with := metric.WithAttributes(attribute.String("code", code), attribute.Int("rank", int(rank)))
 	m.requests.Add(context.Background(), 1, with)
 	m.took.Record(context.Background(), took.Seconds(), with)
 }
@@ -107,8 +125,22 @@
 }
 
 // attempt counts an attempt that ended.
-func (m *metrics) attempt(result edge.Result) {
-	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("result", result.String())))
+func (m *metrics) attempt(at waxwingwall.Endpoint, result edge.Result) {
+	with := metric.WithAttributes(attribute.String("endpoint", m.label(at)), attribute.String("result", result.String()))
+	m.attempts.Add(context.Background(), 1, with)
+}
+
+// label returns the label of an endpoint.
+func (m *metrics) label(at waxwingwall.Endpoint) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.endpoints[at] {
+		if len(m.endpoints) >= maxEndpoints {
+			return "others"
+		}
+		m.endpoints[at] = true
+	}
+	return string(at)
 }
 
 // table counts a call of the store.
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -53,6 +53,10 @@
 	r       *http.Request
 	arrived time.Time
 
+	// rank is the request's, as control told; gone is set once the caller left.
+	rank waxwingwall.Rank
+	gone bool
+
 	// actions come from control.
 	actions chan effect.Action
 
@@ -125,6 +129,7 @@
 
 // leave tells that the caller went away.
 func (p *passage) leave() {
+	p.gone = true
 	p.relay.event(edge.Left{
 		Request: p.id,
 		Events:  p.events.Count,
@@ -135,24 +140,35 @@
 func (p *passage) perform(a effect.Action) bool {
 	switch a := a.(type) {
 	case edge.Dispatch:
+		p.rank = a.Rank
 		p.attempt(a)
 		return false
 	case edge.Refuse:
+		p.rank = a.Rank
 		p.refuse(a.Problem)
 	case edge.Deliver:
 		p.deliver()
 	case edge.Abort:
-		p.relay.metrics.ended("cut", time.Since(p.arrived))
+		p.ended("cut")
 		panic(http.ErrAbortHandler)
 	case edge.Finished:
-		p.relay.metrics.ended("served", time.Since(p.arrived))
+		code := "served"
+		if p.gone {
+			code = "caller_left"
+		}
+		p.ended(code)
 	}
 	return true
 }
 
+// ended counts the request.
+func (p *passage) ended(code string) {
+	p.relay.metrics.ended(code, p.rank, time.Since(p.arrived))
+}
+
 // refuse answers with a problem.
 func (p *passage) refuse(problem *waxwingwall.Problem) {
-	p.relay.metrics.ended(problem.Code, time.Since(p.arrived))
+	p.ended(problem.Code)
 	h := p.w.Header()
 	if problem.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(problem.RetryAfter.Seconds(), 'f', 3, 64))
@@ -168,7 +184,7 @@
 	if p.held == nil {
 		panic(http.ErrAbortHandler)
 	}
-	p.relay.metrics.ended("endpoint_failed", time.Since(p.arrived))
+	p.ended("endpoint_failed")
 	p.writeHeld()
 }
 
@@ -200,7 +216,7 @@
 	ended.Committed = p.committed
 	ended.Events = p.events.Count
 	ended.Offset = p.events.Last
-	p.relay.metrics.attempt(ended.Result)
+	p.relay.metrics.attempt(d.Handover.Endpoint, ended.Result)
 	p.relay.event(ended)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -136,7 +136,7 @@
 // start makes the parts and their goroutines.
 func (r *Relay) start() error {
 	var err error
-	if r.metrics, err = newMetrics(); err != nil {
+	if r.metrics, err = newMetrics(func() int { return len(r.inbox) }); err != nil {
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
