core/edge: prompts of whose reads a router isn't told go home

Cause: in a fleet of 72 a report of reads goes to 12 peers, so a router knows of a sixth of them. A prompt that it took for unread went wherever the queue was a little shorter than at its home, and was read again there. What a router isn't told of counts as read at home, the surer the fewer peers tell it. Ruled out: more room for parts; memory holds all of them three times. Small fleets hear of all reads, so nothing changes there.

--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -103,6 +103,9 @@
 	told        time.Time
 	loadChanged bool
 
+	// peers counts those alive when something was last told to all.
+	peers int
+
 	// reads are the parts sent to endpoints since then.
 	reads []PartRead
 
@@ -172,6 +175,7 @@
 			alive = append(alive, p)
 		}
 	}
+	e.news.peers = len(alive)
 	if len(alive) > maxTold {
 		e.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
 		alive = alive[:maxTold]
--- a/core/edge/load_test.go
+++ b/core/edge/load_test.go
@@ -320,3 +320,23 @@
 	_, out = b.arrive(call("quote"))
 	only[Dispatch](b, out)
 }
+
+// TestUnheardReadsGoHome: a fleet so large that a router hears of a small part of
+// the others' reads. A prompt of which it heard nothing goes where it falls to
+// although that endpoint has more to read than the others: it was most likely
+// read there. In a small fleet, which hears of all, it was not.
+func TestUnheardReadsGoHome(t *testing.T) {
+	for peers, same := range map[int]bool{7: false, 71: true} {
+		b := newBench(t)
+		b.edge.news.peers = peers
+		_, out := b.arrive(prompt(7, 1))
+		home := only[Dispatch](b, out).Handover.Endpoint
+		b = newBench(t)
+		b.edge.news.peers = peers
+		b.edge.endpoints.rows[home].others.prefill = 8_000
+		_, out = b.arrive(prompt(7, 2))
+		if got := only[Dispatch](b, out).Handover.Endpoint; (got == home) != same {
+			t.Errorf("%d peers: home is %s, sent to %s", peers, home, got)
+		}
+	}
+}
--- a/core/edge/place.go
+++ b/core/edge/place.go
@@ -22,6 +22,11 @@
 	// begins at one place.
 	homeShare = 0.3
 
+	// homeTrust is how sure a router is that a prompt of whose reads it did not
+	// hear was read where it falls to: as sure as half of the prompts are asked
+	// for again while they are kept.
+	homeTrust = 0.7
+
 	// rereadCost is how many times the time to read shared parts counts on top
 	// where they are not kept: they delay all that runs there, and take memory
 	// from other parts.
@@ -124,6 +129,7 @@
 		c.cost += rereadCost * float64(again) / readRate
 		if home {
 			c.cost -= homeShare * float64(c.unread) / readRate
+			c.cost -= e.unheard() * homeTrust * (1 + rereadCost - homeShare) * float64(again) / readRate
 		}
 		limit := float64(s.Memory) * memoryShare
 		if held := float64(row.memory + row.others.memory + r.holds()); limit > 0 && held > limit {
@@ -146,6 +152,11 @@
 	return c
 }
 
+// unheard returns the part of the fleet's reads of which this router isn't told.
+func (e *Edge) unheard() float64 {
+	return 1 - min(1, maxTold/float64(max(e.news.peers, 1)))
+}
+
 // affinity is the part by which requests are kept together: the last one that
 // is shared; zero if there is none.
 func (r *request) affinity() uint64 {
