core/edge: old news refuses nothing, departures are told at once

Both are taken out; what an old configuration doesn't know is still asked to come back. Instead routers tell a departure at the tick after the store told them, to 36 peers.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -30,11 +30,8 @@
 	if e.rules.version == 0 {
 		return e.unavailable("not_ready", "no configuration yet", backSoon)
 	}
-	if e.outdated(oldTime) {
-		return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
-	}
 	r.route = e.rules.route(r.call.Host, r.call.Path)
-	if r.route == nil && e.outdated(0) {
+	if r.route == nil && e.outdated() {
 		return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
 	}
 	if r.route == nil {
@@ -42,7 +39,7 @@
 	}
 	r.account = e.rules.accounts[r.call.Key]
 	if r.account == nil && !r.route.Open && len(e.rules.configuration.Accounts) > 0 {
-		if e.outdated(0) {
+		if e.outdated() {
 			return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
 		}
 		return notServed(http.StatusUnauthorized, "unknown_key", "the key is not in force")
--- a/core/edge/departure.go
+++ b/core/edge/departure.go
@@ -31,6 +31,9 @@
 // departures are those of late.
 type departures struct {
 	rows map[waxwingwall.Endpoint]departure
+
+	// fresh are not told to anybody yet.
+	fresh []Departure
 }
 
 type departure struct {
@@ -40,11 +43,13 @@
 
 // departed takes in that the store said so.
 func (e *Edge) departed(id waxwingwall.Endpoint) {
-	e.departures.note(e.now, Departure{
+	d := Departure{
 		Endpoint: id,
 		Revision: e.endpoints.revision,
-	})
-	e.news.loadChanged = true
+	}
+	if e.departures.note(e.now, d) {
+		e.departures.fresh = append(e.departures.fresh, d)
+	}
 }
 
 // note keeps a departure and reports whether it is new.
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -88,9 +88,6 @@
 	revision int64
 	whole    bool
 
-	// asked is when the store was asked for what is known.
-	asked time.Time
-
 	// lost is set while the store can't be read; since is when it could be read
 	// again.
 	lost  bool
@@ -112,7 +109,6 @@
 		}
 		return
 	}
-	t.asked = ev.Asked
 	if t.lost {
 		t.lost = false
 		t.since = e.now
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -124,9 +124,6 @@
 	// Revision orders what is told.
 	Revision int64
 
-	// Asked is when the store was asked: what changed before is known.
-	Asked time.Time
-
 	// Lost is set if the store can't be read; the rest is empty then.
 	Lost bool
 }
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -21,17 +21,16 @@
 	// maxReads bounds the parts of prompts in a report.
 	maxReads = 512
 
-	// maxTold bounds to how many peers a report goes.
-	maxTold = 12
+	// maxTold bounds to how many peers a report goes, urgentTold to how many a
+	// departure does at once: in the largest fleet each router hears of it from
+	// several.
+	maxTold    = 12
+	urgentTold = 36
 
 	// askPause is the least time between two questions for what a peer knows
 	// better.
 	askPause = 300 * time.Millisecond
 
-	// oldTime is how long a router may go by a configuration though it heard of a
-	// newer one: operators want it in force everywhere within 2 s.
-	oldTime = time.Second
-
 	// behindTime is how long the store gets to tell what a peer knows already.
 	behindTime = 200 * time.Millisecond
 )
@@ -92,6 +91,12 @@
 	Revision int64
 }
 
+// Departures tells at once of endpoints that leave.
+type Departures struct {
+	// Departures are those that the store has just told of.
+	Departures []Departure
+}
+
 // Crashes tells of requests that crashed endpoints.
 type Crashes struct {
 	// Notices are merged by whoever hears them.
@@ -112,10 +117,8 @@
 	// reports are the newest of each peer.
 	reports map[waxwingwall.Incarnation]report
 
-	// newest is the newest version of the configuration that a peer has, heard
-	// when that was first told.
+	// newest is the newest version of the configuration that a peer has.
 	newest int64
-	heard  time.Time
 
 	// behind is since when a peer is known to know more, asked when one was
 	// last asked.
@@ -136,7 +139,13 @@
 	if past >= tellAnyway || g.loadChanged && past >= tellEvery {
 		g.told = e.now
 		g.loadChanged = false
-		e.tellAll(e.report())
+		e.tellAll(e.report(), maxTold)
+	}
+	if len(e.departures.fresh) > 0 {
+		e.tellAll(Departures{
+			Departures: e.departures.fresh,
+		}, urgentTold)
+		e.departures.fresh = nil
 	}
 	e.heardLoads()
 }
@@ -168,7 +177,7 @@
 
 // tellAll sends a message to the peers that are alive; in a large fleet to some
 // of them, others each time.
-func (e *Edge) tellAll(message any) {
+func (e *Edge) tellAll(message any, most int) {
 	var alive []member.Peer
 	for _, p := range e.view.Peers(e.now) {
 		if p.Alive {
@@ -176,9 +185,9 @@
 		}
 	}
 	e.news.peers = len(alive)
-	if len(alive) > maxTold {
+	if len(alive) > most {
 		e.rng.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-		alive = alive[:maxTold]
+		alive = alive[:most]
 	}
 	for _, p := range alive {
 		e.send(p.Incarnation, message)
@@ -224,6 +233,8 @@
 		}
 		e.heardDepartures(m.Departures)
 		e.compare(ev.From, m)
+	case Departures:
+		e.heardDepartures(m.Departures)
 	case AskNews:
 		e.answer(ev.From, m)
 	case News:
@@ -238,10 +249,7 @@
 // compare asks a peer that has known more for a while.
 func (e *Edge) compare(from waxwingwall.Incarnation, m Report) {
 	g := &e.news
-	if m.Version > g.newest {
-		g.newest = m.Version
-		g.heard = e.now
-	}
+	g.newest = max(g.newest, m.Version)
 	newer := m.Version > e.rules.version || m.Revision > e.endpoints.revision && (e.endpoints.lost || !e.endpoints.whole)
 	if !newer {
 		g.behind = time.Time{}
@@ -260,9 +268,9 @@
 	})
 }
 
-// outdated reports whether a peer has had a newer configuration for so long.
-func (e *Edge) outdated(since time.Duration) bool {
-	return e.news.newest > e.rules.version && e.now.Sub(e.news.heard) >= since
+// outdated reports whether a peer has a newer configuration.
+func (e *Edge) outdated() bool {
+	return e.news.newest > e.rules.version
 }
 
 // answer tells a peer what it lacks.
@@ -320,6 +328,7 @@
 func Messages() []any {
 	return []any{
 		Report{},
+		Departures{},
 		AskNews{},
 		News{},
 		Crashes{},
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -32,11 +32,6 @@
 	// a full link still is.
 	linkProbe = 300 * time.Millisecond
 
-	// staleNews is how old what is known of endpoints may be while bytes queue on
-	// the link: an idle watch is answered each second, and a leaving endpoint must
-	// get nothing new 2 s or more later.
-	staleNews = 2 * time.Second
-
 	// linkTrips is over how many times the queue a request has to come at least:
 	// the opening of its connection and its answer.
 	linkTrips = 2
@@ -62,9 +57,8 @@
 type link struct {
 	dials []dial
 
-	// wait is the queue as last noted, slow when there last was one.
+	// wait is the queue as last noted.
 	wait time.Duration
-	slow time.Time
 
 	// probed is when the last probe was sent, probes counts them.
 	probed time.Time
@@ -110,9 +104,6 @@
 func (e *Edge) dialed(ev Dialed) {
 	e.link.dialed(e.now, ev)
 	queue := e.link.queue(e.now)
-	if queue > 0 {
-		e.link.slow = e.now
-	}
 	if queue >= linkFull == (e.link.wait >= linkFull) && (queue > 0) == (e.link.wait > 0) {
 		return
 	}
@@ -120,12 +111,10 @@
 	e.note("link_queue", "", field("wait", queue), field("full", queue >= linkFull), field("link_mbps", e.place.Link))
 }
 
-// linkRefusal refuses a request that would not come over the VM's link in time,
-// or might go to an endpoint of whose leaving the link has kept the news.
+// linkRefusal refuses a request that would not come over the VM's link in time.
 func (e *Edge) linkRefusal(r *request) *waxwingwall.Problem {
 	queue := e.link.queue(e.now)
-	stale := e.now.Sub(e.link.slow) < linkMemory && e.now.Sub(e.endpoints.asked) > staleNews
-	if !stale && queue < linkFull && linkTrips*queue < r.until.Sub(e.now) {
+	if queue < linkFull && linkTrips*queue < r.until.Sub(e.now) {
 		return nil
 	}
 	return e.unavailable("link_full", "the link of this router carries no more", max(queue, backSoon))
--- a/core/edge/suspect.go
+++ b/core/edge/suspect.go
@@ -94,6 +94,6 @@
 	if len(notices) > 0 {
 		e.tellAll(Crashes{
 			Notices: notices,
-		})
+		}, maxTold)
 	}
 }
--- a/relay/control.go
+++ b/relay/control.go
@@ -189,7 +189,6 @@
 			Replicas: n.Replicas,
 			Gone:     n.Gone,
 			Revision: n.Revision,
-			Asked:    n.Asked,
 			Lost:     n.Err != nil,
 		})
 	})
