--- a/core/sched/isolate.go
+++ b/core/sched/isolate.go
@@ -17,9 +17,9 @@
 }
 
 // isolates reports whether the endpoint runs no other suspect of any router, so
-// that its next crash tells the innocent from the guilty. The endpoints are
-// divided among the routers, because the crash that makes suspects makes them at
-// several routers at the same moment.
+// that its next crash tells the innocent from the guilty. Routers take turns at an
+// endpoint, because the crash that makes suspects makes them at several routers at
+// the same moment.
 func (s *Scheduler) isolates(now time.Time, j *job, e *endpoint) bool {
 	if s.holdsSuspect(now, e) || s.peerHoldsSuspect(now, e) {
 		e.suspected = now
@@ -29,6 +29,7 @@
 	return now.Sub(since) >= time.Duration(s.turn(now, e))*suspectTurn
 }
 
+// latest returns the last of some times.
 func latest(times ...time.Time) time.Time {
 	var last time.Time
 	for _, t := range times {
