core/edge, io/origin: one place tells of new connections, one answers for what is unknown

The pool tells how long each new connection took; requests and probes measured it apart. The answer to an unknown route or key is made once, with the newer configuration in mind. The link's queue is looked at for each request: a quick connection ends that at once, and no table is made. What is charged says whether there was a reservation. A connection that nobody has used yet has a constant of its own.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -31,18 +31,12 @@
 		return e.unavailable("not_ready", "no configuration yet", backSoon)
 	}
 	r.route = e.rules.route(r.call.Host, r.call.Path)
-	if r.route == nil && e.outdated() {
-		return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
-	}
 	if r.route == nil {
-		return notServed(http.StatusNotFound, "no_route", "no route has this host and path")
+		return e.unknown(http.StatusNotFound, "no_route", "no route has this host and path")
 	}
 	r.account = e.rules.accounts[r.call.Key]
 	if r.account == nil && !r.route.Open && len(e.rules.configuration.Accounts) > 0 {
-		if e.outdated() {
-			return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
-		}
-		return notServed(http.StatusUnauthorized, "unknown_key", "the key is not in force")
+		return e.unknown(http.StatusUnauthorized, "unknown_key", "the key is not in force")
 	}
 	if e.leaving() {
 		return e.unavailable("stopping", "this router is about to stop", 0)
@@ -66,6 +60,15 @@
 	return e.linkRefusal(r)
 }
 
+// unknown is the answer to a request for what the configuration doesn't have; a
+// newer one may have it.
+func (e *Edge) unknown(status int, code, message string) *waxwingwall.Problem {
+	if e.outdated() {
+		return e.unavailable("old_configuration", "a newer configuration is on its way", backSoon)
+	}
+	return notServed(status, code, message)
+}
+
 // fundRequest reserves what the request can cost at most.
 func (e *Edge) fundRequest(r *request) {
 	worst := r.call.WorstCase()
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"waxwingwall"
@@ -84,17 +85,22 @@
 // queue returns how long bytes wait on the link, zero if it is free.
 func (l *link) queue(now time.Time) time.Duration {
 	var quickest time.Duration
-	endpoints := map[netip.AddrPort]bool{}
+	var endpoints []netip.AddrPort
 	for _, d := range l.dials {
 		if now.Sub(d.at) > linkMemory {
 			continue
 		}
+		if d.Took < linkSlow {
+			return 0
+		}
 		if len(endpoints) == 0 || d.Took < quickest {
 			quickest = d.Took
 		}
-		endpoints[d.Address] = true
+		if !slices.Contains(endpoints, d.Address) {
+			endpoints = append(endpoints, d.Address)
+		}
 	}
-	if len(endpoints) < linkEndpoints || quickest < linkSlow {
+	if len(endpoints) < linkEndpoints {
 		return 0
 	}
 	return quickest
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -350,7 +350,7 @@
 func (e *Edge) finish(r *request, row *endpoint, ev Ended) {
 	r.whole = true
 	reserved := r.reserved
-	used := e.charge(r)
+	used, _ := e.charge(r)
 	e.note("served", r.call.ID,
 		field("rank", r.rank), field("attempt", ev.Attempt), field("endpoint", row.replica.Endpoint),
 		field("status", ev.Status), field("events", r.events),
@@ -384,18 +384,18 @@
 
 // settle charges what the caller got, and logs the bill.
 func (e *Edge) settle(r *request) {
-	if reserved := r.reserved; reserved > 0 && r.book == e.book {
-		used := e.charge(r)
+	reserved := r.reserved
+	if used, ok := e.charge(r); ok {
 		e.note("billed", r.call.ID, field("budget", r.budget), field("used", used), field("reserved", reserved))
 	}
 }
 
 // charge charges what the caller got and frees the rest: the prompt, and each
 // event at its most tokens. A request of which the caller got nothing costs
-// nothing.
-func (e *Edge) charge(r *request) waxwingwall.Tokens {
+// nothing. It reports false if nothing was reserved.
+func (e *Edge) charge(r *request) (waxwingwall.Tokens, bool) {
 	if r.reserved == 0 || r.book != e.book {
-		return 0
+		return 0, false
 	}
 	var used waxwingwall.Tokens
 	if r.whole || r.events > 0 {
@@ -408,7 +408,7 @@
 	e.book.Settle(e.now, r.budget, r.reserved, used)
 	r.reserved = 0
 	e.stepBook()
-	return used
+	return used, true
 }
 
 // forget drops a request from the table.
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -42,6 +42,10 @@
 	// closed: a request must not cross its close.
 	idleMargin = 500 * time.Millisecond
 
+	// unusedTime is how long a connection is kept that no request has used yet,
+	// as the endpoint hasn't said how long it keeps one.
+	unusedTime = 500 * time.Millisecond
+
 	// maxIdle is how many unused connections are kept for an address.
 	maxIdle = 32
 
@@ -90,9 +94,6 @@
 	// Dial bounds the wait for a new connection; zero stands for the usual time.
 	Dial time.Duration
 
-	// Dialed, if set, is told how long a new connection took or was waited for.
-	Dialed func(took time.Duration)
-
 	// Match reports whether the head of an answer belongs to this request.
 	Match func(http.Header) bool
 }
@@ -100,6 +101,7 @@
 // Pool keeps connections to endpoints. Create it with New.
 type Pool struct {
 	dialer *net.Dialer
+	dialed func(to netip.AddrPort, took time.Duration)
 
 	// mu guards idle, by address, the most recently used last.
 	mu     sync.Mutex
@@ -111,14 +113,28 @@
 }
 
 // New returns a Pool and a function that closes its unused connections.
-func New() (*Pool, func()) {
+func New(opts ...Option) (*Pool, func()) {
 	p := &Pool{
 		dialer: tcp.Dialer(),
+		dialed: func(netip.AddrPort, time.Duration) {},
 		idle:   map[netip.AddrPort][]*conn{},
 	}
+	for _, o := range opts {
+		o(p)
+	}
 	return p, p.close
 }
 
+// Option changes a Pool.
+type Option func(*Pool)
+
+// WithDialed tells how long each new connection took, or was waited for.
+func WithDialed(dialed func(to netip.AddrPort, took time.Duration)) Option {
+	return func(p *Pool) {
+		p.dialed = dialed
+	}
+}
+
 // conn is one connection.
 type conn struct {
 	net.Conn
@@ -183,12 +199,7 @@
 		}
 		_ = c.Close()
 	}
-	began := time.Now()
-	c, err := p.dial(ctx, r.Address, r.Dial)
-	if r.Dialed != nil {
-		r.Dialed(time.Since(began))
-	}
-	return c, err
+	return p.dial(ctx, r.Address, r.Dial)
 }
 
 // dial makes a connection; a patience of zero stands for the usual time.
@@ -197,7 +208,9 @@
 	if patience > 0 {
 		dialer.Timeout = patience
 	}
+	began := time.Now()
 	nc, err := dialer.DialContext(ctx, "tcp", to.String())
+	p.dialed(to, time.Since(began))
 	if err != nil {
 		return nil, trace.Wrap(ErrUnreached, "%v", err)
 	}
@@ -217,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	c.expires = time.Now().Add(idleMargin)
+	c.expires = time.Now().Add(unusedTime)
 	p.put(c)
 	return nil
 }
--- a/relay/control.go
+++ b/relay/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -87,13 +88,16 @@
 
 // probe makes a connection to an endpoint, which is kept for a request.
 func (r *Relay) probe(a edge.Probe) {
-	began := time.Now()
 	if err := r.origins.Open(r.ctx, a.Address, a.Dial); err != nil {
 		r.log.WithError(err).WithField("address", a.Address.String()).Debug("probe_failed")
 	}
+}
+
+// dialed tells control of a new connection to an endpoint.
+func (r *Relay) dialed(to netip.AddrPort, took time.Duration) {
 	r.event(edge.Dialed{
-		Address: a.Address,
-		Took:    time.Since(began),
+		Address: to,
+		Took:    took,
 	})
 }
 
--- a/relay/passage.go
+++ b/relay/passage.go
@@ -232,12 +232,6 @@
 		Dial:    d.Dial,
 		First:   d.First,
 		Pause:   d.Pause,
-		Dialed: func(took time.Duration) {
-			p.relay.event(edge.Dialed{
-				Address: d.Address,
-				Took:    took,
-			})
-		},
 		Match: func(h http.Header) bool {
 			id := p.relay.wire.Reply(0, h).Call
 			return id == "" || id == p.call.ID
