--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -94,6 +94,10 @@
 	revision int64
 	complete bool
 
+	// asOf is the time before which rows holds all changes in the store; zero if
+	// nothing was received from the store yet.
+	asOf time.Time
+
 	// storeUnavailable is set while the store can't be read; storeBackAt is when
 	// it last became available again.
 	storeUnavailable bool
@@ -111,7 +115,7 @@
 	if ev.Unavailable {
 		if !t.storeUnavailable {
 			t.storeUnavailable = true
-			e.log("store_lost", "", field("table", "endpoints"))
+			e.log("store_lost", "", field("table", "endpoints"), field("age", t.age(e.now)), field("cause", ev.Err))
 		}
 		return
 	}
@@ -120,9 +124,27 @@
 		t.storeBackAt = e.now
 		e.log("store_regained", "", field("table", "endpoints"))
 	}
+	if ev.AsOf.After(t.asOf) {
+		t.asOf = ev.AsOf
+	}
 	e.mergeReplicas(ev, "store")
 }
 
+// age returns how long ago the rows were last known to hold all changes; zero if
+// nothing was received from the store yet.
+func (t *endpoints) age(now time.Time) time.Duration {
+	if t.asOf.IsZero() {
+		return 0
+	}
+	return now.Sub(t.asOf)
+}
+
+// EndpointsAge returns how long ago the router last had all changes of the endpoints
+// in the store; zero before it had any.
+func (e *Edge) EndpointsAge(now time.Time) time.Duration {
+	return e.endpoints.age(now)
+}
+
 // mergeReplicas applies an update of the endpoints from the store or a peer.
 func (e *Edge) mergeReplicas(ev Replicas, from string) {
 	t := &e.endpoints
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -84,6 +84,10 @@
 	Events int
 	Offset string
 
+	// ConnectedAt is when the attempt had a connection, SentAt when the request was
+	// completely written to it; zero if it was not.
+	ConnectedAt, SentAt time.Time
+
 	// Err is the cause of a failure, for the log.
 	Err string
 }
@@ -123,9 +127,13 @@
 	// Revision is the store's revision of the update.
 	Revision int64
 
-	// Unavailable is set if the store can't be read; the other fields are empty
-	// then.
+	// AsOf is a time before which the update holds all changes.
+	AsOf time.Time
+
+	// Unavailable is set if the store can't be read, with the cause in Err for the
+	// log; the other fields are empty then.
 	Unavailable bool
+	Err         string
 }
 
 // Nodes is the event of an update of the routers in the store.
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -143,7 +143,7 @@
 		field("route", r.route.Name), field("version", e.config.version), field("rank", r.rank),
 		field("attempt", r.attempt), field("endpoint", d.Params.Endpoint), field("among", c.candidates),
 		field("cost_ms", int(c.cost)), field("unread", c.uncached), field("running", c.endpoint.running),
-		field("reserved", r.reserved), field("left", remaining))
+		field("reserved", r.reserved), field("left", remaining), field("endpoints_age", e.endpoints.age(e.now)))
 	e.emit(d)
 }
 
@@ -206,6 +206,7 @@
 	e.log("attempt_ended", r.call.ID,
 		field("attempt", ev.Attempt), field("endpoint", target.replica.Endpoint), field("result", ev.Result.String()),
 		field("status", ev.Status), field("committed", ev.Committed), field("events", ev.Events),
+		field("connected", since(r.sentAt, ev.ConnectedAt)), field("sent", since(r.sentAt, ev.SentAt)),
 		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("cause", ev.Err))
 	switch {
 	case ev.Committed && !(r.route.Kind == waxwingwall.Streaming && r.route.Resumable):
@@ -363,6 +364,7 @@
 	e.log("served", r.call.ID,
 		field("rank", r.rank), field("attempt", ev.Attempt), field("endpoint", target.replica.Endpoint),
 		field("status", ev.Status), field("events", r.events),
+		field("connected", since(r.sentAt, ev.ConnectedAt)), field("sent", since(r.sentAt, ev.SentAt)),
 		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("after", e.now.Sub(r.arrived)),
 		field("budget", r.budget), field("used", used), field("reserved", reserved))
 	e.emit(Finished{
@@ -371,6 +373,14 @@
 	e.removeRequest(r)
 }
 
+// since returns the time from start to end; zero if end is zero.
+func since(start, end time.Time) time.Duration {
+	if end.IsZero() {
+		return 0
+	}
+	return end.Sub(start)
+}
+
 // handleCallerLeft handles the disconnection of the caller.
 func (e *Edge) handleCallerLeft(ev CallerLeft) {
 	r := e.requests[ev.Request]
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -96,6 +96,27 @@
 
 	// Match reports whether the header of an answer belongs to this request.
 	Match func(http.Header) bool
+
+	// Trace is called at each stage of the request, possibly from another goroutine;
+	// nil if nobody is interested.
+	Trace func(Stage)
+}
+
+// Stage is a stage of a request.
+type Stage int
+
+const (
+	// Connected means that the request has a connection.
+	Connected Stage = iota
+
+	// Sent means that the request was completely written to the connection.
+	Sent
+)
+
+func (r Request) trace(s Stage) {
+	if r.Trace != nil {
+		r.Trace(s)
+	}
 }
 
 // Pool keeps connections to endpoints. Create it with New.
@@ -174,6 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.trace(Connected)
 	a := &Answer{
 		pool:        p,
 		conn:        c,
@@ -364,7 +386,7 @@
 		req.ContentLength = int64(len(r.Body))
 	}
 	if len(r.Body) <= maxInlineBytes {
-		if err := a.write(req); err != nil {
+		if err := a.write(req, r); err != nil {
 			a.written <- err
 			// The endpoint may have answered before it closed the connection.
 			if a.readHeader(req, r) == nil {
@@ -374,17 +396,21 @@
 		}
 		a.written <- nil
 	} else {
-		go func() { a.written <- a.write(req) }()
+		go func() { a.written <- a.write(req, r) }()
 	}
 	return a.readHeader(req, r)
 }
 
-func (a *Answer) write(req *http.Request) error {
+func (a *Answer) write(req *http.Request, r Request) error {
 	w := bufio.NewWriter(a.conn)
 	if err := req.Write(w); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(w.Flush())
+	if err := w.Flush(); err != nil {
+		return trace.Wrap(err)
+	}
+	r.trace(Sent)
+	return nil
 }
 
 // readHeader reads headers until one belongs to the request. It skips answers to
--- a/relay/control.go
+++ b/relay/control.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"waxwingwall"
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
@@ -28,6 +30,7 @@
 			return
 		case j := <-r.inbox:
 			now := time.Now()
+			r.metrics.jobStarted(now.Sub(j.postedAt))
 			if j.call != nil {
 				j.call(now)
 				continue
@@ -45,6 +48,7 @@
 
 // post queues a job for the control goroutine. It blocks while the inbox is full.
 func (r *Relay) post(j job) {
+	j.postedAt = time.Now()
 	select {
 	case r.inbox <- j:
 	case <-r.ctx.Done():
@@ -82,6 +86,8 @@
 		limits:     r.edge.Limits(),
 		addresses:  addresses,
 		addressTTL: addressTTL,
+
+		endpointsAge: r.edge.EndpointsAge(now),
 	})
 }
 
@@ -189,13 +195,18 @@
 		for _, err := range u.Unreadable {
 			r.log.WithError(err).WithField("revision", u.Revision).Warning("endpoint_unreadable")
 		}
-		r.postEvent(edge.Replicas{
+		ev := edge.Replicas{
 			Snapshot:    u.Snapshot,
 			Replicas:    u.Replicas,
 			Removed:     u.Removed,
 			Revision:    u.Revision,
+			AsOf:        u.AsOf,
 			Unavailable: u.Err != nil,
-		})
+		}
+		if u.Err != nil {
+			ev.Err = trace.Unwrap(u.Err).Error()
+		}
+		r.postEvent(ev)
 	})
 }
 
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -33,6 +33,7 @@
 	duration       metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
 	storeDuration  metric.Float64Histogram
+	controlWait    metric.Float64Histogram
 
 	// mu guards endpoints, the endpoints that have their own label.
 	mu        sync.Mutex
@@ -44,7 +45,7 @@
 const maxEndpoints = 1000
 
 // newMetrics creates the instruments in a separate registry.
-func newMetrics(queueLength func() int) (*metrics, error) {
+func newMetrics(queueLength func() int, endpointsAge func() time.Duration) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
 		return nil, err
@@ -61,6 +62,16 @@
 	if _, err = meter.Int64ObservableGauge("waxwingwall.edge.control_queue", metric.WithInt64Callback(observe), metric.WithDescription("Events that wait for a decision.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	observeAge := func(_ context.Context, o metric.Float64Observer) error {
+		o.Observe(endpointsAge().Seconds())
+		return nil
+	}
+	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_age", metric.WithUnit("s"), metric.WithFloat64Callback(observeAge), metric.WithDescription("Time since the router last had all changes of the endpoints.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.controlWait, err = meter.Float64Histogram("waxwingwall.edge.control_wait", metric.WithUnit("s"), metric.WithDescription("Time that an event waits for a decision.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if m.requests, err = meter.Int64Counter("waxwingwall.edge.requests", metric.WithDescription("Requests that ended, by code and rank.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -119,6 +130,11 @@
 	m.duration.Record(context.Background(), duration.Seconds(), with)
 }
 
+// jobStarted records how long a job waited for the control goroutine.
+func (m *metrics) jobStarted(waited time.Duration) {
+	m.controlWait.Record(context.Background(), waited.Seconds())
+}
+
 // answerStarted records the time to the header of an answer.
 func (m *metrics) answerStarted(took time.Duration) {
 	m.firstEvent.Record(context.Background(), took.Seconds())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -95,12 +95,18 @@
 	limits     waxwingwall.CallerLimits
 	addresses  []netip.AddrPort
 	addressTTL time.Duration
+
+	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
+	endpointsAge time.Duration
 }
 
 // job is work for the control goroutine: an event or a function to call.
 type job struct {
 	event effect.Event
 	call  func(now time.Time)
+
+	// postedAt is when the job was passed to post.
+	postedAt time.Time
 }
 
 // Option changes a Relay before it starts.
@@ -140,7 +146,7 @@
 // start creates the components and starts their goroutines.
 func (r *Relay) start() error {
 	var err error
-	if r.metrics, err = newMetrics(func() int { return len(r.inbox) }); err != nil {
+	if r.metrics, err = newMetrics(func() int { return len(r.inbox) }, func() time.Duration { return r.sharedState.Load().endpointsAge }); err != nil {
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
--- a/relay/request.go
+++ b/relay/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -203,7 +204,8 @@
 	ctx, cancel := context.WithDeadline(p.r.Context(), d.Deadline)
 	defer cancel()
 	p.bufferedAnswer = nil
-	outcome := p.exchange(ctx, d)
+	var times attemptTimes
+	outcome := p.exchange(ctx, d, times.record)
 	if p.r.Context().Err() != nil && outcome.Result != edge.Complete {
 		// A caller may close its connection as soon as it has the complete answer.
 		p.reportCallerLeft()
@@ -217,12 +219,37 @@
 	outcome.Committed = p.committed
 	outcome.Events = p.events.Count
 	outcome.Offset = p.events.LastID
+	outcome.ConnectedAt, outcome.SentAt = times.get()
 	p.relay.metrics.attemptEnded(d.Params.Endpoint, outcome.Result)
 	p.relay.postEvent(outcome)
 }
 
+// attemptTimes are the times of the stages of an attempt. It is safe for concurrent
+// use.
+type attemptTimes struct {
+	mu              sync.Mutex
+	connected, sent time.Time
+}
+
+func (t *attemptTimes) record(s origin.Stage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch s {
+	case origin.Connected:
+		t.connected = time.Now()
+	case origin.Sent:
+		t.sent = time.Now()
+	}
+}
+
+func (t *attemptTimes) get() (connected, sent time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.connected, t.sent
+}
+
 // exchange sends the request to an endpoint and forwards the answer.
-func (p *proxyRequest) exchange(ctx context.Context, d edge.Dispatch) edge.AttemptEnded {
+func (p *proxyRequest) exchange(ctx context.Context, d edge.Dispatch, onStage func(origin.Stage)) edge.AttemptEnded {
 	answer, err := p.relay.origins.Do(ctx, origin.Request{
 		Address:       d.Address,
 		Method:        p.r.Method,
@@ -237,6 +264,7 @@
 			id := p.relay.codec.ParseReply(0, h).Call
 			return id == "" || id == p.call.ID
 		},
+		Trace: onStage,
 	})
 	if errors.Is(err, origin.ErrIdleTimeout) {
 		// Other connections to the same address may be dead as well.
