--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -7,6 +7,7 @@
 package tcp
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -15,9 +16,9 @@
 )
 
 const (
-	// dialTimeout limits the time to make a connection: a new attempt is faster
+	// DialTimeout limits the time to make a connection: a new attempt is faster
 	// than the retransmission of a lost SYN.
-	dialTimeout = 400 * time.Millisecond
+	DialTimeout = 400 * time.Millisecond
 
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// connection is closed.
@@ -30,10 +31,22 @@
 	keepAliveCount    = 2
 )
 
+// Dial makes a connection to an address, as net.Dialer.DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Within returns a Dial that limits the time of dial.
+func Within(dial Dial, limit time.Duration) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // Dialer returns a dialer with these timeouts.
 func Dialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
