core/edge: send to endpoints with missing entries only if no other is listed

Callers' requests reached an endpoint 3.4 s after it had gone from the store.

Cause: a router that reads the store again takes missing entries for ones that expired in an outage of the store, and uses their endpoints for 2 s. Its own link was the cause; the store had been there for everyone else.

A router can't tell the two apart, but need not: the endpoints that are listed can take the work for 2 s, and only if none is listed, which is how an outage of the store with expired entries looks, the missing ones are used.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -291,6 +291,13 @@
 	return !r.replica.Leaving && r.departRevision == 0
 }
 
+// listed reports whether a usable endpoint has an entry in the store. A missing
+// entry may reappear after an outage, but the endpoint may as well have left while
+// this router alone could not read the store.
+func (r *endpoint) listed() bool {
+	return r.usable() && r.missingSince.IsZero()
+}
+
 // recordRun updates the failure rate after an attempt that reached the endpoint.
 func (r *endpoint) recordRun(now time.Time, failed bool) {
 	r.decay(now)
--- a/core/edge/placement.go
+++ b/core/edge/placement.go
@@ -78,16 +78,16 @@
 	candidates int
 }
 
-// choose returns the endpoint with the lowest cost. Endpoints in r.tried are
-// excluded; dispatch clears r.tried if no other endpoint is left and the request
+// choose returns the accepted endpoint with the lowest cost. Endpoints in r.tried
+// are excluded; dispatch clears r.tried if no other endpoint is left and the request
 // did not run.
-func (e *Edge) choose(r *request) (placement, bool) {
+func (e *Edge) choose(r *request, accept func(*endpoint) bool) (placement, bool) {
 	var best placement
 	rows := e.endpoints.byService[r.service]
-	preferred := e.preferredEndpoint(rows, r.affinityPart())
+	preferred := e.preferredEndpoint(rows, r.affinityPart(), accept)
 	count := 0
 	for _, row := range rows {
-		if !row.usable() || r.tried[row.replica.Endpoint] {
+		if !accept(row) || r.tried[row.replica.Endpoint] {
 			continue
 		}
 		c := e.cost(r, row, row == preferred)
@@ -100,17 +100,17 @@
 	return best, count > 0
 }
 
-// preferredEndpoint returns the endpoint to which a part is assigned by
+// preferredEndpoint returns the accepted endpoint to which a part is assigned by
 // rendezvous hashing. The order of the endpoints is the same at all routers, so
 // they need not exchange where a part is cached.
-func (e *Edge) preferredEndpoint(rows []*endpoint, part uint64) *endpoint {
+func (e *Edge) preferredEndpoint(rows []*endpoint, part uint64, accept func(*endpoint) bool) *endpoint {
 	if part == 0 {
 		return nil
 	}
 	var best *endpoint
 	var highest uint64
 	for _, row := range rows {
-		if !row.usable() || e.now.Before(row.backoffUntil) {
+		if !accept(row) || e.now.Before(row.backoffUntil) {
 			continue
 		}
 		if h := rendezvousHash(part, row.replica.Endpoint); best == nil || h > highest {
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -90,10 +90,14 @@
 		e.fail(r, DeadlineExceeded)
 		return
 	}
-	c, ok := e.choose(r)
+	c, ok := e.choose(r, (*endpoint).listed)
 	if !ok && len(r.tried) > 0 && !r.mayHaveRun() {
 		clear(r.tried)
-		c, ok = e.choose(r)
+		c, ok = e.choose(r, (*endpoint).listed)
+	}
+	if !ok {
+		// After an outage of the store, the entries of all endpoints may be missing.
+		c, ok = e.choose(r, (*endpoint).usable)
 	}
 	if !ok {
 		e.log("no_endpoint", r.call.ID, field("service", r.service),
