--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,5 +1,5 @@
-// Package tcp provides a dialer whose connections fail early when the peer
-// stops responding.
+// Package tcp provides dialers whose connections fail early when the peer stops
+// responding.
 //
 // An open connection can stop working permanently while new ones work, and a
 // lost SYN is retransmitted only after a second. The timeouts are therefore
@@ -34,19 +34,63 @@
 // Dial makes a connection to an address, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Within returns a Dial that limits the time of dial.
-func Within(dial Dial, limit time.Duration) Dial {
+// Repeated returns a Dial that starts an attempt with dial every DialTimeout until
+// one succeeds, and fails after limit. A lost SYN is thus replaced early, while a
+// reply that is delayed by a busy link still counts.
+func Repeated(dial Dial, limit time.Duration) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		return dial(ctx, network, address)
+		results := make(chan dialResult)
+		attempt := func() {
+			conn, err := dial(ctx, network, address)
+			select {
+			case results <- dialResult{
+				conn: conn,
+				err:  err,
+			}:
+			case <-ctx.Done():
+				if conn != nil {
+					_ = conn.Close()
+				}
+			}
+		}
+		ticker := time.NewTicker(DialTimeout)
+		defer ticker.Stop()
+		go attempt()
+		for pending := 1; ; {
+			select {
+			case r := <-results:
+				pending--
+				if r.err == nil || pending == 0 {
+					return r.conn, r.err
+				}
+			case <-ticker.C:
+				pending++
+				go attempt()
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
 	}
 }
 
+type dialResult struct {
+	conn net.Conn
+	err  error
+}
+
 // Dialer returns a dialer with these timeouts.
 func Dialer() *net.Dialer {
+	d := PatientDialer()
+	d.Timeout = DialTimeout
+	return d
+}
+
+// PatientDialer returns a dialer with these timeouts for established connections.
+// The time to make a connection is limited by the context alone.
+func PatientDialer() *net.Dialer {
 	return &net.Dialer{
-		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
