core/edge, io/origin, relay: send no requests by a list of endpoints that may be too old

Callers saw requests served by endpoints that had said more than 3 s before that they leave, at a router whose link its callers filled.

The router could not tell its own busy link from an outage of the store.

Now the age of the list is known by the store's clock. A request is sent only while the list is younger than the bound of the operators (endpoint_drain), with reserves for connecting and arriving; the time until which it may be sent is checked again when it has a connection. If the list is older, quick round trips to endpoints for 2 s tell that the link is clear and the store is away, and requests go on, as no router knows better. Without them the request is refused at once as not run, with a time to come back.

The harness of core/edge passes empty updates while the store is not away, as a real one does.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -35,6 +35,7 @@
 package edge
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -74,6 +75,10 @@
 
 	// AddressTTL is how long a caller may cache the result of Addresses.
 	AddressTTL time.Duration
+
+	// EndpointDrain is how long after the store acknowledged that an endpoint leaves
+	// a request may still reach it; zero selects the default.
+	EndpointDrain time.Duration
 }
 
 // Option configures an Edge.
@@ -149,6 +154,7 @@
 	for _, o := range opts {
 		o(e)
 	}
+	e.SetBounds(e.bounds)
 	e.rng = rand.New(rand.NewPCG(e.seed, uint64(self.Boot)))
 	e.endpoints.init()
 	e.nodes.init()
@@ -158,11 +164,12 @@
 
 // Defaults of Bounds.
 const (
-	defaultRetryRatio   = 0.1
-	defaultRetryReserve = 10
-	defaultRetryWindow  = 10 * time.Second
-	defaultGrace        = 8 * time.Second
-	defaultAddressTTL   = 2 * time.Second
+	defaultRetryRatio    = 0.1
+	defaultRetryReserve  = 10
+	defaultRetryWindow   = 10 * time.Second
+	defaultGrace         = 8 * time.Second
+	defaultAddressTTL    = 2 * time.Second
+	defaultEndpointDrain = 2 * time.Second
 )
 
 // initIncarnation creates the components that belong to an incarnation.
@@ -302,5 +309,6 @@
 
 // SetBounds replaces the operators' bounds.
 func (e *Edge) SetBounds(b Bounds) {
+	b.EndpointDrain = cmp.Or(b.EndpointDrain, defaultEndpointDrain)
 	e.bounds = b
 }
--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -134,8 +134,16 @@
 	return c
 }
 
+// refresh passes an empty update from the store, unless it is away.
+func (h *harness) refresh() {
+	if t := &h.edge.endpoints; !t.storeUnavailable {
+		h.step(Replicas{Revision: t.revision})
+	}
+}
+
 // arrive starts a request and returns its number and the resulting actions.
 func (h *harness) arrive(c waxwingwall.Call) (uint64, []effect.Action) {
+	h.refresh()
 	h.next++
 	return h.next, h.step(Arrived{
 		Request: h.next,
@@ -145,6 +153,7 @@
 
 // endAttempt ends an attempt.
 func (h *harness) endAttempt(d Dispatch, e AttemptEnded) []effect.Action {
+	h.refresh()
 	e.Request = d.Request
 	e.Attempt = d.Attempt
 	return h.step(e)
@@ -297,7 +306,7 @@
 			e := AttemptEnded{
 				Result: Result(rapid.IntRange(int(Complete), int(DeadlineExceeded)).Draw(t, "result")),
 			}
-			ran := e.Result != Declined && e.Result != Unreachable
+			ran := e.Result != Declined && e.Result != Unreachable && e.Result != Expired
 			if ran {
 				runs++
 				if route.Kind == waxwingwall.Streaming && rapid.Bool().Draw(t, "committed") {
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -124,8 +124,12 @@
 		t.storeBackAt = e.now
 		e.log("store_regained", "", field("table", "endpoints"))
 	}
-	if ev.AsOf.After(t.asOf) {
-		t.asOf = ev.AsOf
+	asOf := ev.AsOf
+	if asOf.IsZero() {
+		asOf = e.now
+	}
+	if asOf.After(t.asOf) {
+		t.asOf = asOf
 	}
 	e.mergeReplicas(ev, "store")
 }
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -44,13 +44,17 @@
 	// IdleTimeout means that the endpoint sent nothing for too long.
 	IdleTimeout
 
+	// Expired means that Dispatch.SendBy passed before there was a connection; nothing
+	// was sent.
+	Expired
+
 	// DeadlineExceeded means that the deadline of the request has passed.
 	DeadlineExceeded
 )
 
 // String returns the name of the result in logs and problem codes.
 func (r Result) String() string {
-	return [...]string{"whole", "failed", "declined", "unreached", "broken", "silent", "late"}[r]
+	return [...]string{"whole", "failed", "declined", "unreached", "broken", "silent", "expired", "late"}[r]
 }
 
 // AnswerStarted is the event of the first part of an answer.
@@ -127,7 +131,8 @@
 	// Revision is the store's revision of the update.
 	Revision int64
 
-	// AsOf is a time before which the update holds all changes.
+	// AsOf is a time before which the update holds all changes; zero stands for the
+	// time of the event.
 	AsOf time.Time
 
 	// Unavailable is set if the store can't be read, with the cause in Err for the
@@ -174,6 +179,10 @@
 	// DialTimeout limits the wait for a connection; zero selects the default.
 	DialTimeout time.Duration
 
+	// SendBy is the time until which the request may be sent, as the endpoint may leave
+	// without the router's knowledge; zero if there is no limit.
+	SendBy time.Time
+
 	// FirstTimeout limits the wait for the start of the answer, IdleTimeout the
 	// time between its parts; zero means no limit except Deadline.
 	FirstTimeout, IdleTimeout time.Duration
--- a/core/edge/freshness_test.go
+++ b/core/edge/freshness_test.go
@@ -137,6 +137,10 @@
 			m.feed(AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: Unreachable})
 			return
 		}
+		if !d.SendBy.IsZero() && m.now.After(d.SendBy) {
+			m.feed(AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: Expired})
+			return
+		}
 		m.sent[m.second()]++
 		if left, leaves := m.leftAt[d.Params.Endpoint]; leaves && m.now.Sub(left) > leaveBound {
 			m.t.Errorf("%v: request sent to %s %v after it left", m.now.Sub(m.start), d.Params.Endpoint, m.now.Sub(left))
@@ -265,3 +269,65 @@
 		h.endAttempt(d, AttemptEnded{Result: Complete, Committed: true})
 	}
 }
+
+// TestOutageBehindClearLink: while the store is away and the link is clear, requests
+// go on, as no router knows better.
+func TestOutageBehindClearLink(t *testing.T) {
+	h := newHarness(t)
+	refused := 0
+	serve := func() {
+		_, out := h.arrive(call("quote"))
+		if !has[Dispatch](out) {
+			refused++
+			return
+		}
+		d := only[Dispatch](h, out)
+		h.advance(50 * time.Millisecond)
+		h.step(AnswerStarted{Request: d.Request, Attempt: d.Attempt})
+		h.endAttempt(d, AttemptEnded{Result: Complete, Committed: true})
+	}
+	for range 20 {
+		serve()
+		h.advance(100 * time.Millisecond)
+	}
+	h.step(Replicas{Unavailable: true})
+	for range 100 {
+		serve()
+		h.advance(100 * time.Millisecond)
+	}
+	if refused > 0 {
+		t.Errorf("%d requests refused", refused)
+	}
+}
+
+// TestOutageAtIdleRouter: a router without traffic that can't read the store probes
+// its link. It refuses requests as not run until the link has been clear for some time,
+// and serves them from then on.
+func TestOutageAtIdleRouter(t *testing.T) {
+	h := newHarness(t)
+	h.step(Replicas{Unavailable: true})
+	probes := 0
+	idle := func(d time.Duration) {
+		for _, a := range h.advance(d) {
+			if p, ok := a.(Probe); ok {
+				probes++
+				h.step(Dialed{Address: p.Address, Took: 2 * time.Millisecond})
+			}
+		}
+	}
+	for range 36 {
+		idle(50 * time.Millisecond)
+	}
+	_, out := h.arrive(call("order"))
+	if p := only[Refuse](h, out).Problem; p.Code != "endpoints_unknown" || p.Outcome != waxwingwall.NotRun || p.RetryAfter <= 0 {
+		t.Errorf("got %+v, want code endpoints_unknown, the outcome not run and a Retry-After time", p)
+	}
+	for range 60 {
+		idle(50 * time.Millisecond)
+	}
+	_, out = h.arrive(call("order"))
+	only[Dispatch](h, out)
+	if probes < 3 || probes > 6 {
+		t.Errorf("%d probes in 4.8 s", probes)
+	}
+}
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -60,6 +60,7 @@
 // most recent connections indicates the length of the queue.
 type link struct {
 	dials []dial
+	clear clearLink
 
 	// loggedDelay is the last logged queueing delay.
 	loggedDelay time.Duration
@@ -114,6 +115,10 @@
 func (e *Edge) handleDialed(ev Dialed) {
 	e.link.addDial(e.now, ev)
 	delay := e.link.queueDelay(e.now)
+	e.link.clear.add(e.now, ev.Took)
+	if delay >= clearRoundTrip {
+		e.link.clear = clearLink{}
+	}
 	if delay >= fullLinkDelay == (e.link.loggedDelay >= fullLinkDelay) && (delay > 0) == (e.link.loggedDelay > 0) {
 		return
 	}
@@ -131,10 +136,11 @@
 	return e.unavailableProblem("link_full", "the link of this router carries no more", max(delay, defaultRetryAfter))
 }
 
-// probeLink requests a connection while the full link carries no requests. The
-// endpoints take turns.
+// probeLink requests a connection while the full link carries no requests, and while
+// updates from the store are missing. The endpoints take turns.
 func (e *Edge) probeLink() {
-	if e.link.queueDelay(e.now) < fullLinkDelay || e.now.Sub(e.link.probedAt) < probeInterval {
+	full := e.link.queueDelay(e.now) >= fullLinkDelay && e.now.Sub(e.link.probedAt) >= probeInterval
+	if !full && !e.wantsClearProbe() {
 		return
 	}
 	var all []netip.AddrPort
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -90,6 +90,14 @@
 		e.fail(r, DeadlineExceeded)
 		return
 	}
+	if !e.mayDispatch() {
+		if r.mayHaveRun() {
+			e.fail(r, Expired)
+			return
+		}
+		e.refuse(r, e.unavailableProblem("endpoints_unknown", "this router has no current list of endpoints", defaultRetryAfter))
+		return
+	}
 	c, ok := e.choose(r, (*endpoint).listed)
 	if !ok && len(r.tried) > 0 && !r.mayHaveRun() {
 		clear(r.tried)
@@ -127,6 +135,7 @@
 		},
 		Deadline:      r.deadline,
 		DialTimeout:   e.dialTimeout(),
+		SendBy:        e.sendBy(),
 		Stream:        r.route.Kind == waxwingwall.Streaming,
 		BufferFailure: r.route.Idempotent() && r.runs+1 < r.route.Attempts,
 	}
@@ -184,6 +193,7 @@
 	r.endpoint.prefill -= r.uncachedTokens
 	r.answerStarted = true
 	r.firstLatency = e.now.Sub(r.sentAt)
+	e.link.clear.add(e.now, r.firstLatency)
 	r.endpoint.recordReachable()
 	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.endpoint.slowdown)
 	e.gossip.loadChanged = true
@@ -285,7 +295,7 @@
 		return false
 	}
 	switch ev.Result {
-	case Unreachable:
+	case Unreachable, Expired:
 		// Nothing was sent, so this does not count against the retry budget.
 		r.declined++
 		return r.declined <= 2*maxDeclined && (!r.mayHaveRun() || r.route.Idempotent())
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -5,7 +5,7 @@
 // header of the matching answer. The body is read from the Answer; Close
 // returns the connection to the pool if the answer is complete, and otherwise
 // closes it. The failures differ in whether the endpoint may have run the
-// request: only ErrUnreachable guarantees that nothing was sent.
+// request: only ErrUnreachable and ErrExpired guarantee that nothing was sent.
 //
 // An endpoint can send more than it should: an answer to an earlier, abandoned
 // request, or bytes after a complete answer. Answers to other requests are
@@ -68,6 +68,9 @@
 	// ErrUnreachable means that nothing was sent.
 	ErrUnreachable = errors.New("endpoint unreachable")
 
+	// ErrExpired means that Request.SendBy passed before anything was sent.
+	ErrExpired = errors.New("endpoint connected too late")
+
 	// ErrIdleTimeout means that nothing arrived within the time limit.
 	ErrIdleTimeout = errors.New("endpoint idle timeout")
 )
@@ -94,6 +97,9 @@
 	// DialTimeout limits the wait for a new connection; zero selects the default.
 	DialTimeout time.Duration
 
+	// SendBy is the time until which the request may be sent; zero if there is no limit.
+	SendBy time.Time
+
 	// Match reports whether the header of an answer belongs to this request.
 	Match func(http.Header) bool
 
@@ -195,6 +201,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !r.SendBy.IsZero() && time.Now().After(r.SendBy) {
+		c.expires = time.Now().Add(preconnectTTL)
+		p.putIdle(c)
+		return nil, trace.Wrap(ErrExpired)
+	}
 	r.trace(Connected)
 	a := &Answer{
 		pool:        p,
--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -228,6 +228,27 @@
 	}
 }
 
+// TestSendBy: nothing is sent once the time to send a request has passed, and the
+// connection that was made too late serves a later request.
+func TestSendBy(t *testing.T) {
+	e := newEndpoint(t, answer("2", "two"))
+	p, stop := New()
+	defer stop()
+	r := e.request("1")
+	r.SendBy = time.Now().Add(-time.Millisecond)
+	if _, err := readBody(p, r); !errors.Is(err, ErrExpired) {
+		t.Errorf("got %v, want ErrExpired", err)
+	}
+	r = e.request("2")
+	r.SendBy = time.Now().Add(time.Minute)
+	if text, err := readBody(p, r); text != "two" || err != nil {
+		t.Errorf("got %q, %v", text, err)
+	}
+	if len(e.seen) != 1 || p.Dials() != 1 {
+		t.Errorf("%d requests sent, %d dials, want one each", len(e.seen), p.Dials())
+	}
+}
+
 // TestEventSplitter checks that the complete events come out in order, and that
 // Pending is right, however the stream is cut into pieces.
 func TestEventSplitter(t *testing.T) {
--- a/relay/control.go
+++ b/relay/control.go
@@ -204,7 +204,7 @@
 			Unavailable: u.Err != nil,
 		}
 		if u.Err != nil {
-			ev.Err = trace.Unwrap(u.Err).Error()
+			ev.Err = trace.UserMessage(u.Err)
 		}
 		r.postEvent(ev)
 	})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -187,15 +187,15 @@
 	return nil
 }
 
-// bounds returns the retry limits, the grace period and the address lifetime of
-// the settings.
+// bounds returns the bounds of the settings.
 func bounds(s settings.Edge) edge.Bounds {
 	return edge.Bounds{
-		RetryRatio:   s.RetryRatio,
-		RetryReserve: s.RetryReserve,
-		RetryWindow:  s.RetryWindow,
-		Grace:        s.Grace,
-		AddressTTL:   s.Lifetime,
+		RetryRatio:    s.RetryRatio,
+		RetryReserve:  s.RetryReserve,
+		RetryWindow:   s.RetryWindow,
+		Grace:         s.Grace,
+		AddressTTL:    s.Lifetime,
+		EndpointDrain: s.EndpointDrain,
 	}
 }
 
@@ -323,8 +323,7 @@
 	return r.log
 }
 
-// Reload applies the retry limits, the grace period and the address lifetime of
-// new settings. The listen addresses stay as they were at the start.
+// Reload applies the bounds of new settings. The listen addresses stay as they were at the start.
 func (r *Relay) Reload(s settings.Edge) {
 	r.post(job{
 		call: func(time.Time) {
--- a/relay/request.go
+++ b/relay/request.go
@@ -258,6 +258,7 @@
 		Header:        p.relay.codec.Forward(p.r.Header, d.Params),
 		Body:          p.body,
 		DialTimeout:   d.DialTimeout,
+		SendBy:        d.SendBy,
 		HeaderTimeout: d.FirstTimeout,
 		IdleTimeout:   d.IdleTimeout,
 		Match: func(h http.Header) bool {
@@ -286,6 +287,8 @@
 	switch {
 	case errors.Is(err, origin.ErrUnreachable):
 		result = edge.Unreachable
+	case errors.Is(err, origin.ErrExpired):
+		result = edge.Expired
 	case errors.Is(err, origin.ErrIdleTimeout):
 		result = edge.IdleTimeout
 	}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -44,6 +44,10 @@
 	// Grace limits the duration of a graceful stop.
 	Grace time.Duration `json:"grace"`
 
+	// EndpointDrain is how long after the store acknowledged that an endpoint leaves
+	// a request may still reach it.
+	EndpointDrain time.Duration `json:"endpoint_drain"`
+
 	// Lifetime is the longest time that callers may cache the answer to a
 	// directory query.
 	Lifetime time.Duration `json:"lifetime"`
@@ -61,14 +65,15 @@
 
 // Limits and defaults of the settings of an edge router.
 const (
-	maxMemoryMB         = 1 << 20
-	maxRetryReserve     = 1e9
-	maxLinkMbps         = 1e9
-	defaultGrace        = 8 * time.Second
-	defaultLifetime     = 2 * time.Second
-	defaultRetryRatio   = 0.1
-	defaultRetryReserve = 10
-	defaultRetryWindow  = 10 * time.Second
+	maxMemoryMB          = 1 << 20
+	maxRetryReserve      = 1e9
+	maxLinkMbps          = 1e9
+	defaultGrace         = 8 * time.Second
+	defaultLifetime      = 2 * time.Second
+	defaultEndpointDrain = 2 * time.Second
+	defaultRetryRatio    = 0.1
+	defaultRetryReserve  = 10
+	defaultRetryWindow   = 10 * time.Second
 )
 
 // parseLink parses a speed in Mbit/s. A fraction is allowed and truncated.
@@ -94,22 +99,23 @@
 	router, listen, store := f.FindOrAdd("router"), f.FindOrAdd("listen"), f.FindOrAdd("store")
 	limits, bounds := f.FindOrAdd("limits"), f.FindOrAdd("bounds")
 	s := Edge{
-		VM:           ini.Get(router, "vm", ini.Name[waxwingwall.VM]),
-		Domain:       ini.Get(router, "domain", ini.Name[waxwingwall.Domain]),
-		Callers:      ini.Get(listen, "callers", ini.AddrPort),
-		Readiness:    ini.Get(listen, "readiness", ini.AddrPort),
-		Directory:    ini.Get(listen, "directory", ini.AddrPort),
-		Peers:        ini.Get(listen, "peers", ini.AddrPort),
-		Metrics:      ini.Get(listen, "metrics", ini.AddrPort, netip.AddrPort{}),
-		Store:        ini.Get(store, "address", ini.AddrPort),
-		MemoryBytes:  ini.Get(limits, "memory_mb", ini.Int[int64](0, maxMemoryMB), 0) << 20,
-		LinkMbps:     ini.Get(limits, "link_mbps", parseLink, 0),
-		Grace:        ini.Get(bounds, "grace", ini.Duration(time.Second, maxDuration), defaultGrace),
-		Lifetime:     ini.Get(bounds, "lifetime", ini.Duration(time.Second, maxDuration), defaultLifetime),
-		RetryRatio:   ini.Get(bounds, "retry_ratio", ini.Float(0, 1), defaultRetryRatio),
-		RetryReserve: ini.Get(bounds, "retry_reserve", ini.Float(0, maxRetryReserve), defaultRetryReserve),
-		RetryWindow:  ini.Get(bounds, "retry_window", ini.Duration(time.Second, maxDuration), defaultRetryWindow),
-		Log:          readLog(f.FindOrAdd("log")),
+		VM:            ini.Get(router, "vm", ini.Name[waxwingwall.VM]),
+		Domain:        ini.Get(router, "domain", ini.Name[waxwingwall.Domain]),
+		Callers:       ini.Get(listen, "callers", ini.AddrPort),
+		Readiness:     ini.Get(listen, "readiness", ini.AddrPort),
+		Directory:     ini.Get(listen, "directory", ini.AddrPort),
+		Peers:         ini.Get(listen, "peers", ini.AddrPort),
+		Metrics:       ini.Get(listen, "metrics", ini.AddrPort, netip.AddrPort{}),
+		Store:         ini.Get(store, "address", ini.AddrPort),
+		MemoryBytes:   ini.Get(limits, "memory_mb", ini.Int[int64](0, maxMemoryMB), 0) << 20,
+		LinkMbps:      ini.Get(limits, "link_mbps", parseLink, 0),
+		Grace:         ini.Get(bounds, "grace", ini.Duration(time.Second, maxDuration), defaultGrace),
+		Lifetime:      ini.Get(bounds, "lifetime", ini.Duration(time.Second, maxDuration), defaultLifetime),
+		RetryRatio:    ini.Get(bounds, "retry_ratio", ini.Float(0, 1), defaultRetryRatio),
+		RetryReserve:  ini.Get(bounds, "retry_reserve", ini.Float(0, maxRetryReserve), defaultRetryReserve),
+		RetryWindow:   ini.Get(bounds, "retry_window", ini.Duration(time.Second, maxDuration), defaultRetryWindow),
+		EndpointDrain: ini.Get(bounds, "endpoint_drain", ini.Duration(time.Second, maxDuration), defaultEndpointDrain),
+		Log:           readLog(f.FindOrAdd("log")),
 	}
 	if err := f.Err(); err != nil {
 		return Edge{}, err
