io/origin: limit the head of an answer

An endpoint that answers with bytes without end and without a line break made a router keep all of them: 12.7 GB within seconds in TestEndlessHead before this change, which ended the test process. Callers of all other requests of that router would have lost it.

Cause: http.ReadResponse limits neither the status line nor the header. Now the bytes that are read for one head are limited; more end the attempt as broken, so a request that may be repeated goes elsewhere and another ends as unknown. TestEndlessAnswers of relay covers heads and bodies of all kinds of requests; the bodies were bounded before.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -58,6 +58,9 @@
 	maxSkippedAnswers = 4
 	maxSkippedBytes   = 1 << 20
 
+	// maxHeadBytes limits what is read until the head of an answer is complete.
+	maxHeadBytes = 64 << 10
+
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 )
@@ -170,6 +173,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	limit  readLimit
 	addr   netip.AddrPort
 
 	// expires is the time after which it must not be reused.
@@ -254,13 +258,41 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
-	return &conn{
-		Conn:   nc,
-		reader: bufio.NewReaderSize(nc, readBufferBytes),
-		addr:   to,
-	}, nil
+	c := &conn{
+		Conn: nc,
+		limit: readLimit{
+			Reader: nc,
+		},
+		addr: to,
+	}
+	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
+	return c, nil
+}
+
+// readLimit is a reader that can be limited. The zero value has no limit.
+type readLimit struct {
+	io.Reader
+
+	// limited is set if only remaining bytes may be read.
+	limited   bool
+	remaining int
 }
 
+// Read implements io.Reader.
+func (l *readLimit) Read(b []byte) (int, error) {
+	if !l.limited {
+		return l.Reader.Read(b)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.Reader.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+var errHeadTooLong = errors.New("head of the answer too long")
+
 // Preconnect makes a connection and keeps it for a request.
 func (p *Pool) Preconnect(ctx context.Context, to netip.AddrPort, timeout time.Duration) error {
 	c, err := p.dial(ctx, to, timeout)
@@ -435,7 +467,10 @@
 		return trace.Wrap(err)
 	}
 	for range maxSkippedAnswers {
+		a.conn.limit.limited = true
+		a.conn.limit.remaining = maxHeadBytes
 		resp, err := http.ReadResponse(a.conn.reader, req)
+		a.conn.limit.limited = false
 		if err != nil {
 			return classifyError(err)
 		}
