io/endpoint, io/service: limit heads, and take no part of an answer for a whole one

A plain service that answers with a failure status and a body without end was taken for one that had answered: the caller got the first 4 MiB as a whole body. A head of endless fields took up to 10 MiB and 187 MB of allocations before the attempt failed. TestEndlessAnswer of io/service and io/engine failed in both ways.

Cause: the limit on the body cut it without a word, and the limit on the head was net/http's default. A longer body is now a broken answer, and heads have the limit that io/origin has.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -170,6 +170,9 @@
 	dialTimeout     = time.Second
 	idleConnTimeout = 30 * time.Second
 	maxIdlePerHost  = 64
+
+	// maxHeadBytes limits the head of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Pool keeps connections to endpoints. An idle connection can fail without
@@ -206,6 +209,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -102,7 +102,10 @@
 	Body string `json:"body"`
 }
 
-var errMismatched = errors.New("the answer belongs to another attempt")
+var (
+	errMismatched = errors.New("the answer belongs to another attempt")
+	errTooLong    = errors.New("the answer is too long")
+)
 
 // Do makes the call. A failure is an *endpoint.Error.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
@@ -122,10 +125,13 @@
 		return Answer{}, c.newError(watchdog, call, err)
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, c.newError(watchdog, call, err)
 	}
+	if len(body) > maxAnswerBytes {
+		return Answer{}, newError(endpoint.Broken, errTooLong)
+	}
 	if res.StatusCode != http.StatusOK {
 		return Answer{
 			Status: res.StatusCode,
