core/edge, platform, io/tcp: wait longer for the store on a busy link, go on while no router hears of it

Reports of peers now say whether their lists are too old as well; if several do and none has a current one, the store is away.

Callers that are refused for this come back after a second at least.

--- a/core/edge/freshness.go
+++ b/core/edge/freshness.go
@@ -6,8 +6,9 @@
 // from the store's updates, which can be late: if the store is away, and if the
 // router's own link is busy. The first is no reason to stop, since no router can
 // know better then. The second is: other routers are up to date and can take the
-// requests. Quick round trips to endpoints tell the two apart. If there were such
-// for some time without any update, the link is not the cause.
+// requests. Two observations show that the link is not the cause: quick round trips
+// to endpoints for some time without any update, and peers that miss the updates as
+// well.
 
 const (
 	// sendReserve is the part of Bounds.EndpointDrain that is left to connect to an
@@ -21,6 +22,11 @@
 	clearRoundTrip = 500 * time.Millisecond
 	clearRetention = 1500 * time.Millisecond
 
+	// minStaleReports is the number of recent reports of peers, none with a current list
+	// of endpoints, that show that the store is away; fewer are enough if there are
+	// fewer peers.
+	minStaleReports = 8
+
 	// clearTime is how long the link must have been clear until missing updates mean
 	// that the store is away: a watch that was interrupted by a busy link needs as
 	// long to continue.
@@ -31,6 +37,9 @@
 	// the list is at most a little over a second old.
 	staleProbeAge      = 1200 * time.Millisecond
 	staleProbeInterval = time.Second
+
+	// staleRetryAfter is the Retry-After time while the list of endpoints is too old.
+	staleRetryAfter = time.Second
 )
 
 // clearLink is a series of quick round trips over the VM's link, with less than
@@ -65,7 +74,22 @@
 // mayDispatch reports whether the list of endpoints is good enough to dispatch
 // requests by it.
 func (e *Edge) mayDispatch() bool {
-	return !e.endpointsStale() || e.link.clear.longEnough(e.now)
+	return !e.endpointsStale() || e.link.clear.longEnough(e.now) || e.peersStale()
+}
+
+// peersStale reports whether the peers have no current list of endpoints either.
+func (e *Edge) peersStale() bool {
+	n := 0
+	for _, r := range e.gossip.reports {
+		if e.now.Sub(r.receivedAt) > reportTTL {
+			continue
+		}
+		if !r.EndpointsStale {
+			return false
+		}
+		n++
+	}
+	return n >= max(1, min(minStaleReports, len(e.nodes.rows)-1))
 }
 
 // sendBy returns the time until which a request that is dispatched now may be sent;
--- a/core/edge/freshness_test.go
+++ b/core/edge/freshness_test.go
@@ -331,3 +331,30 @@
 		t.Errorf("%d probes in 4.8 s", probes)
 	}
 }
+
+// TestOutageForAllRouters: behind a busy link, a router goes on while its peers have no
+// current list of endpoints either, and stops once one of them has.
+func TestOutageForAllRouters(t *testing.T) {
+	h := newHarness(t)
+	h.step(Replicas{Unavailable: true})
+	h.advance(2 * time.Second)
+	report := func(vm string, stale bool) {
+		h.step(effect.Received{
+			From:    waxwingwall.Incarnation{VM: waxwingwall.VM(vm), Boot: 1},
+			Message: Report{Revision: 10, EndpointsStale: stale},
+		})
+	}
+	_, out := h.arrive(call("order"))
+	only[Refuse](h, out)
+	for i := range minStaleReports {
+		report(fmt.Sprintf("vm-%d", 2+i), true)
+	}
+	_, out = h.arrive(call("order"))
+	only[Dispatch](h, out)
+	report("vm-2", false)
+	_, out = h.arrive(call("order"))
+	only[Refuse](h, out)
+	h.advance(2 * reportTTL)
+	_, out = h.arrive(call("order"))
+	only[Refuse](h, out)
+}
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -56,6 +56,10 @@
 	// Revision is the store's revision of the sender's endpoints.
 	Revision int64
 
+	// EndpointsStale is set if the sender's list of endpoints is too old to dispatch
+	// requests by it.
+	EndpointsStale bool
+
 	// Loads are the endpoints at which the sender has requests in flight.
 	Loads []EndpointLoad
 
@@ -155,8 +159,11 @@
 // report returns the report of this router.
 func (e *Edge) report() Report {
 	r := Report{
-		Version:    e.config.version,
-		Revision:   e.endpoints.revision,
+		Version:  e.config.version,
+		Revision: e.endpoints.revision,
+
+		EndpointsStale: e.endpointsStale(),
+
 		Departures: e.departures.list(e.now),
 		Reads:      e.gossip.pendingReads,
 	}
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -95,7 +95,7 @@
 			e.fail(r, Expired)
 			return
 		}
-		e.refuse(r, e.unavailableProblem("endpoints_unknown", "this router has no current list of endpoints", defaultRetryAfter))
+		e.refuse(r, e.unavailableProblem("endpoints_unknown", "this router has no current list of endpoints", max(e.link.queueDelay(e.now), staleRetryAfter)))
 		return
 	}
 	c, ok := e.choose(r, (*endpoint).listed)
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -24,6 +24,9 @@
 	// connection is closed.
 	userTimeout = 2500 * time.Millisecond
 
+	// patientUserTimeout replaces userTimeout where a late answer is worth waiting for.
+	patientUserTimeout = 6 * time.Second
+
 	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an idle
 	// connection whose peer stopped responding within about three seconds.
 	keepAliveIdle     = time.Second
@@ -34,9 +37,10 @@
 // Dial makes a connection to an address, as net.Dialer.DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Repeated returns a Dial that starts an attempt with dial every DialTimeout until
-// one succeeds, and fails after limit. A lost SYN is thus replaced early, while a
-// reply that is delayed by a busy link still counts.
+// Repeated returns a Dial that starts further attempts with dial until one succeeds,
+// and fails after limit. The first one follows after DialTimeout, each other one after
+// twice the time. A lost SYN is thus replaced early, while a reply that is delayed by
+// a busy link still counts.
 func Repeated(dial Dial, limit time.Duration) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, limit)
@@ -55,8 +59,9 @@
 				}
 			}
 		}
-		ticker := time.NewTicker(DialTimeout)
-		defer ticker.Stop()
+		interval := DialTimeout
+		timer := time.NewTimer(interval)
+		defer timer.Stop()
 		go attempt()
 		for pending := 1; ; {
 			select {
@@ -65,7 +70,9 @@
 				if r.err == nil || pending == 0 {
 					return r.conn, r.err
 				}
-			case <-ticker.C:
+			case <-timer.C:
+				interval *= 2
+				timer.Reset(interval)
 				pending++
 				go attempt()
 			case <-ctx.Done():
@@ -82,32 +89,37 @@
 
 // Dialer returns a dialer with these timeouts.
 func Dialer() *net.Dialer {
-	d := PatientDialer()
-	d.Timeout = DialTimeout
-	return d
-}
-
-// PatientDialer returns a dialer with these timeouts for established connections.
-// The time to make a connection is limited by the context alone.
-func PatientDialer() *net.Dialer {
 	return &net.Dialer{
+		Timeout: DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
 			Interval: keepAliveInterval,
 			Count:    keepAliveCount,
 		},
-		Control: setUserTimeout,
+		Control: setUserTimeout(userTimeout),
 	}
 }
 
-// setUserTimeout sets TCP_USER_TIMEOUT, the limit for unacknowledged bytes.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	if cerr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}); cerr != nil {
-		return cerr
+// PatientDialer returns a dialer whose connections survive a busy link. The time to
+// make a connection is limited by the context alone.
+func PatientDialer() *net.Dialer {
+	d := Dialer()
+	d.Timeout = 0
+	d.Control = setUserTimeout(patientUserTimeout)
+	return d
+}
+
+// setUserTimeout returns a function that sets TCP_USER_TIMEOUT, the limit for
+// unacknowledged bytes. It applies to unanswered keep-alive probes as well.
+func setUserTimeout(limit time.Duration) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if cerr := c.Control(func(fd uintptr) {
+			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		}); cerr != nil {
+			return cerr
+		}
+		return err
 	}
-	return err
 }
