core/claim: end a graceful stop when no owner is left to report to

A fleet that was stopped as a whole sometimes left a router behind, which drained until it was killed and exited with 1. Its state had all bills filed and three ended requests unreported.

Cause: Ledger.idle waits until the owner of a slot has acknowledged the end of each request that ran here. If the owner had drained and exited before, and all others were leaving as well, nobody was left to acknowledge it, and the wait had no end: the loss of a peer was taken for a late answer of it.

An end is now waited for only as long as the owner of the slot lives, or a router is there that takes the slot over. Otherwise the bill, which is filed before, is all that later routers need.

--- a/core/claim/bills.go
+++ b/core/claim/bills.go
@@ -168,13 +168,20 @@
 		return false
 	}
 	for _, e := range l.claims {
-		if e.Home == l.self && (e.State == StateBegun || e.settling || e.unreported) {
+		if e.Home == l.self && (e.State == StateBegun || e.settling || e.unreported && l.reportable(e)) {
 			return false
 		}
 	}
 	return true
 }
 
+// reportable reports whether the end of a request can be acknowledged: by the owner of
+// its slot, or by a router that takes the slot over. After the last one has stopped,
+// the filed bill is all that is needed.
+func (l *Ledger) reportable(e *entry) bool {
+	return l.alive(l.slots.owner(e.Slot)) || len(l.candidates()) > 0
+}
+
 // replaceable reports whether a primary of this router can find another
 // witness. The last remaining router has no other peer to name.
 func (l *Ledger) replaceable() bool {
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -204,6 +204,34 @@
 		Expect(w.records[request.Identity].runs).To(Equal(1))
 	})
 
+	// Guards against a graceful stop of the whole fleet that never ends, because a
+	// router waits for owners of slots that have stopped before it.
+	It("ends its graceful stop after the owner of its slots has stopped", func() {
+		w.runSteps = 400
+		request := newRequest("k")
+		Expect(w.submit(all[0], request).Kind).To(Equal(claim.Fresh))
+		home := ownerOf(w, request)
+		w.advance(200 * time.Millisecond)
+		home.ledger.Drain(w.now)
+		w.advance(2 * time.Second)
+		for _, r := range all {
+			if r != home {
+				r.ledger.Drain(w.now)
+			}
+		}
+		for range 200 {
+			w.advance(200 * time.Millisecond)
+			for _, r := range all {
+				r.dead = r.dead || r.ledger.Drained()
+			}
+			w.updatePeers()
+		}
+		for _, r := range all {
+			Expect(r.ledger.Drained()).To(BeTrue(), "%v: %+v", r.self, r.ledger.Dump())
+		}
+		Expect(w.bills()[request.Identity]).To(HaveLen(1))
+	})
+
 	It("bills the runs of a pair that was closed while isolated", func() {
 		w.table.down = true
 		request := newRequest("k")
