core/edge, io/origin, relay: don't take the delay of the own link for silence of an endpoint

A caller got the start of an answer and then a closed connection, though its endpoint had sent all of it.

While new connections are slow, or updates from the store are late and no quick round trips show that the link is clear, such a wait is prolonged, up to the deadline of the request. TestSilenceBehindBusyLink and TestKeepWaiting cover both parts; the code before had neither.

--- a/core/edge/freshness.go
+++ b/core/edge/freshness.go
@@ -108,3 +108,10 @@
 	return (t.asOf.IsZero() || t.age(e.now) > staleProbeAge) &&
 		e.now.Sub(e.link.clear.last) >= staleProbeInterval && e.now.Sub(e.link.probedAt) >= staleProbeInterval
 }
+
+// LinkSuspect reports whether the router's own link may delay what endpoints send: new
+// connections to several of them are slow, or updates from the store are late and
+// nothing shows that the link is clear. Silence of an endpoint means nothing then.
+func (e *Edge) LinkSuspect(now time.Time) bool {
+	return e.link.queueDelay(now) > 0 || e.endpoints.age(now) > staleProbeAge && !e.link.clear.longEnough(now)
+}
--- a/core/edge/freshness_test.go
+++ b/core/edge/freshness_test.go
@@ -358,3 +358,34 @@
 	_, out = h.arrive(call("order"))
 	only[Refuse](h, out)
 }
+
+// TestSilenceBehindBusyLink guards against good answers that are broken off because the
+// router's own link delays them: from the first late update or slow dials on, silence
+// of an endpoint is no reason to give up on it, until the link is clear again.
+func TestSilenceBehindBusyLink(t *testing.T) {
+	h := newHarness(t)
+	if h.edge.LinkSuspect(h.now) {
+		t.Error("suspect though nothing is late")
+	}
+	h.reportDials(300*time.Millisecond, 300*time.Millisecond, 300*time.Millisecond)
+	if !h.edge.LinkSuspect(h.now) {
+		t.Error("not suspect though new connections are slow")
+	}
+	h.reportDials(2 * time.Millisecond)
+	if h.edge.LinkSuspect(h.now) {
+		t.Error("suspect after a fast dial")
+	}
+	for range 28 {
+		h.advance(50 * time.Millisecond)
+	}
+	if !h.edge.LinkSuspect(h.now) {
+		t.Error("not suspect though updates are late")
+	}
+	for range 50 {
+		h.advance(50 * time.Millisecond)
+		h.reportDials(2 * time.Millisecond)
+	}
+	if h.edge.LinkSuspect(h.now) {
+		t.Error("suspect though the link has been clear for long")
+	}
+}
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -97,6 +97,11 @@
 	// wait for each part of its body; zero leaves only the limit of the context.
 	HeaderTimeout, IdleTimeout time.Duration
 
+	// KeepWaiting is asked when HeaderTimeout or IdleTimeout has passed. If it reports
+	// true, the wait begins anew. It is called on the goroutine that waits; nil never
+	// prolongs a wait.
+	KeepWaiting func() bool
+
 	// DialTimeout limits the wait for a new connection; zero selects the default.
 	DialTimeout time.Duration
 
@@ -173,7 +178,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	limit  readLimit
+	source source
 	addr   netip.AddrPort
 
 	// expires is the time after which it must not be reused.
@@ -260,35 +265,57 @@
 	p.mu.Unlock()
 	c := &conn{
 		Conn: nc,
-		limit: readLimit{
-			Reader: nc,
+		source: source{
+			Conn: nc,
 		},
 		addr: to,
 	}
-	c.reader = bufio.NewReaderSize(&c.limit, readBufferBytes)
+	c.reader = bufio.NewReaderSize(&c.source, readBufferBytes)
 	return c, nil
 }
 
-// readLimit is a reader that can be limited. The zero value has no limit.
-type readLimit struct {
-	io.Reader
+// source reads from a connection within limits of time and size.
+type source struct {
+	net.Conn
+
+	// timeout limits each wait for bytes; zero means no limit. keepWaiting, unless it
+	// is nil, is asked whether to prolong a wait.
+	timeout     time.Duration
+	keepWaiting func() bool
 
 	// limited is set if only remaining bytes may be read.
 	limited   bool
 	remaining int
 }
 
-// Read implements io.Reader.
-func (l *readLimit) Read(b []byte) (int, error) {
-	if !l.limited {
-		return l.Reader.Read(b)
+// wait sets the limit for the following waits.
+func (s *source) wait(timeout time.Duration) error {
+	s.timeout = timeout
+	deadline := time.Time{}
+	if timeout > 0 {
+		deadline = time.Now().Add(timeout)
 	}
-	if l.remaining <= 0 {
+	return s.SetReadDeadline(deadline)
+}
+
+// Read implements io.Reader.
+func (s *source) Read(b []byte) (int, error) {
+	if s.limited && s.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := l.Reader.Read(b[:min(len(b), l.remaining)])
-	l.remaining -= n
-	return n, err
+	if s.limited {
+		b = b[:min(len(b), s.remaining)]
+	}
+	for {
+		n, err := s.Conn.Read(b)
+		s.remaining -= n
+		if n > 0 || s.timeout == 0 || s.keepWaiting == nil || !isTimeout(err) || !s.keepWaiting() {
+			return n, err
+		}
+		if err := s.wait(s.timeout); err != nil {
+			return 0, err
+		}
+	}
 }
 
 var errHeadTooLong = errors.New("head of the answer too long")
@@ -459,18 +486,15 @@
 // readHeader reads headers until one belongs to the request. It skips answers to
 // other requests.
 func (a *Answer) readHeader(req *http.Request, r Request) error {
-	deadline := time.Time{}
-	if r.HeaderTimeout > 0 {
-		deadline = time.Now().Add(r.HeaderTimeout)
-	}
-	if err := a.conn.SetReadDeadline(deadline); err != nil {
+	a.conn.source.keepWaiting = r.KeepWaiting
+	if err := a.conn.source.wait(r.HeaderTimeout); err != nil {
 		return trace.Wrap(err)
 	}
 	for range maxSkippedAnswers {
-		a.conn.limit.limited = true
-		a.conn.limit.remaining = maxHeadBytes
+		a.conn.source.limited = true
+		a.conn.source.remaining = maxHeadBytes
 		resp, err := http.ReadResponse(a.conn.reader, req)
-		a.conn.limit.limited = false
+		a.conn.source.limited = false
 		if err != nil {
 			return classifyError(err)
 		}
@@ -497,17 +521,22 @@
 // classifyError returns ErrIdleTimeout for a timeout, and other errors
 // unchanged.
 func classifyError(err error) error {
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if isTimeout(err) {
 		return trace.Wrap(ErrIdleTimeout)
 	}
 	return trace.Wrap(err)
 }
 
+// isTimeout reports whether err is a timeout.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Read reads the body. It returns io.EOF only after a complete one.
 func (a *Answer) Read(b []byte) (int, error) {
 	if a.idleTimeout > 0 {
-		if err := a.conn.SetReadDeadline(time.Now().Add(a.idleTimeout)); err != nil {
+		if err := a.conn.source.wait(a.idleTimeout); err != nil {
 			return 0, trace.Wrap(err)
 		}
 	}
@@ -529,7 +558,8 @@
 		a.closeConn()
 		return
 	}
-	if err := a.conn.SetReadDeadline(time.Time{}); err != nil {
+	a.conn.source.keepWaiting = nil
+	if err := a.conn.source.wait(0); err != nil {
 		a.closeConn()
 		return
 	}
--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -249,6 +250,63 @@
 	}
 }
 
+// TestKeepWaiting: a wait for the head or the body that was too long is prolonged as
+// long as KeepWaiting says so.
+func TestKeepWaiting(t *testing.T) {
+	for name, test := range map[string]struct {
+		script string
+		waits  int
+		want   error
+	}{
+		"head, prolonged":   {"", 3, nil},
+		"head, given up":    {"", 1, ErrIdleTimeout},
+		"within the head":   {"HTTP/1.1 200 OK\r\nId: 1\r\n", 3, nil},
+		"body, prolonged":   {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 3, nil},
+		"body, not at all":  {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 0, ErrIdleTimeout},
+		"another body wait": {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 2, ErrIdleTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			asked, goOn := 0, make(chan struct{})
+			proceed := sync.OnceFunc(func() { close(goOn) })
+			defer proceed()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				rest := strings.TrimPrefix(answer("1", "one"), test.script)
+				if _, err := io.WriteString(c, test.script); err != nil {
+					return
+				}
+				<-goOn
+				_, _ = io.WriteString(c, rest)
+			}()
+			p, stop := New()
+			defer stop()
+			r := (&endpoint{addr: l.Addr().(*net.TCPAddr).AddrPort()}).request("1")
+			r.HeaderTimeout = 20 * time.Millisecond
+			r.IdleTimeout = 20 * time.Millisecond
+			r.KeepWaiting = func() bool {
+				asked++
+				if asked == 3 {
+					proceed()
+				}
+				return asked <= test.waits
+			}
+			text, err := readBody(p, r)
+			if !errors.Is(err, test.want) || err == nil && text != "one" {
+				t.Errorf("got %q, %v, want error %v", text, err, test.want)
+			}
+		})
+	}
+}
+
 // TestEventSplitter checks that the complete events come out in order, and that
 // Pending is right, however the stream is cut into pieces.
 func TestEventSplitter(t *testing.T) {
--- a/relay/control.go
+++ b/relay/control.go
@@ -88,6 +88,7 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
+		linkSuspect:  r.edge.LinkSuspect(now),
 	})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -96,8 +96,10 @@
 	addresses  []netip.AddrPort
 	addressTTL time.Duration
 
-	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
+	// endpointsAge and linkSuspect are edge.Edge.EndpointsAge and LinkSuspect at the
+	// time of the snapshot.
 	endpointsAge time.Duration
+	linkSuspect  bool
 }
 
 // job is work for the control goroutine: an event or a function to call.
--- a/relay/request.go
+++ b/relay/request.go
@@ -261,6 +261,7 @@
 		SendBy:        d.SendBy,
 		HeaderTimeout: d.FirstTimeout,
 		IdleTimeout:   d.IdleTimeout,
+		KeepWaiting:   func() bool { return p.relay.sharedState.Load().linkSuspect },
 		Match: func(h http.Header) bool {
 			id := p.relay.codec.ParseReply(0, h).Call
 			return id == "" || id == p.call.ID
