test, soak, relay: choose ports apart from those of parallel runs

Three runs of the process tests at a time failed 4 of 18 times at the start of their fleets: their process IDs are close, and so were the first ports that they tried, so a router was refused a port or a caller reached the router of another run. The ports of relay's tests were in the ephemeral range, where any outgoing connection can take one before its relay does (seen as 'address already in use' on busy machines). Runs now start 256 ports from each other, below that range.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -14,12 +14,16 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/sirupsen/logrus"
 
 	"waxwingwall"
+	"waxwingwall/core/edge"
+	"waxwingwall/io/origin"
 	"waxwingwall/platform/standin"
 	"waxwingwall/settings"
 )
@@ -138,15 +142,33 @@
 	return n
 }
 
+// The ports of relays are below the ephemeral range, so that no outgoing connection
+// takes a port before its relay does. Runs in parallel start portsPerRun from each
+// other.
+const (
+	firstPort   = 30_000
+	portCount   = 2_560
+	portsPerRun = 256
+)
+
+// nextPort is the offset of the next port to try.
+var nextPort atomic.Uint32
+
 // freePort returns an unused local port.
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (uint32(os.Getpid())*portsPerRun+nextPort.Add(1))%portCount
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		l, err := net.Listen("tcp", address.String())
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 // waitUntil waits for a condition.
@@ -627,3 +649,18 @@
 		t.Errorf("missing log entries: %v", want)
 	}
 }
+
+// TestFailedAttempt: the results of attempts that sent nothing differ from those that
+// may have run.
+func TestFailedAttempt(t *testing.T) {
+	for err, want := range map[error]edge.Result{
+		origin.ErrUnreachable: edge.Unreachable,
+		origin.ErrExpired:     edge.Expired,
+		origin.ErrIdleTimeout: edge.IdleTimeout,
+		io.ErrUnexpectedEOF:   edge.Broken,
+	} {
+		if got := failedAttempt(trace.Wrap(err)).Result; got != want {
+			t.Errorf("%v: got %v, want %v", err, got, want)
+		}
+	}
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -45,9 +45,10 @@
 
 	// firstPort and portCount are the port range of the routers. It is below the
 	// ephemeral range, so that no outgoing connection takes the port of a router
-	// that is down.
-	firstPort = 10_000
-	portCount = 10_000
+	// that is down. Runs in parallel start portsPerRun from each other.
+	firstPort   = 10_000
+	portCount   = 10_000
+	portsPerRun = 256
 )
 
 // nextPort is the offset of the next port to try.
@@ -252,7 +253,7 @@
 	t.Helper()
 	var addresses []string
 	for len(addresses) < n {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(uint32(os.Getpid())+nextPort.Add(1))%portCount)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+(uint32(os.Getpid())*portsPerRun+nextPort.Add(1))%portCount)
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -132,12 +132,14 @@
 }
 
 // nextPort is the next port to try. The ports are below the ephemeral range, so
-// that no outgoing connection takes a port before its router does.
-var nextPort = firstPort + uint16(os.Getpid()%portCount)
+// that no outgoing connection takes a port before its router does. Runs in parallel,
+// whose process IDs are close, start far from each other.
+var nextPort = firstPort + uint16(os.Getpid()*portsPerRun%portCount)
 
 const (
-	firstPort = 20_000
-	portCount = 10_000
+	firstPort   = 20_000
+	portCount   = 10_000
+	portsPerRun = 256
 )
 
 // freePorts finds loopback addresses with unused ports.
