--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -159,13 +159,11 @@
 // report returns the report of this router.
 func (e *Edge) report() Report {
 	r := Report{
-		Version:  e.config.version,
-		Revision: e.endpoints.revision,
-
+		Version:        e.config.version,
+		Revision:       e.endpoints.revision,
 		EndpointsStale: e.endpointsStale(),
-
-		Departures: e.departures.list(e.now),
-		Reads:      e.gossip.pendingReads,
+		Departures:     e.departures.list(e.now),
+		Reads:          e.gossip.pendingReads,
 	}
 	e.gossip.pendingReads = nil
 	for _, s := range e.config.configuration.Services {
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -181,7 +181,7 @@
 	source source
 	addr   netip.AddrPort
 
-	// expires is the time after which it must not be reused.
+	// expires is the time after which it must not be reused; zero if it is new.
 	expires time.Time
 }
 
@@ -211,7 +211,9 @@
 		return nil, err
 	}
 	if !r.SendBy.IsZero() && time.Now().After(r.SendBy) {
-		c.expires = time.Now().Add(preconnectTTL)
+		if c.expires.IsZero() {
+			c.expires = time.Now().Add(preconnectTTL)
+		}
 		p.putIdle(c)
 		return nil, trace.Wrap(ErrExpired)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -325,7 +325,8 @@
 	return r.log
 }
 
-// Reload applies the bounds of new settings. The listen addresses stay as they were at the start.
+// Reload applies the bounds of new settings. The listen addresses stay as they were at
+// the start.
 func (r *Relay) Reload(s settings.Edge) {
 	r.post(job{
 		call: func(time.Time) {
