--- a/core/edge/freshness_test.go
+++ b/core/edge/freshness_test.go
@@ -48,8 +48,8 @@
 	linkBytesPerSecond = 1_250_000
 	promptBytes        = 17_000
 
-	// The driver's limits of a call to the store: for its dial, and for its answer in
-	// addition to the time that the store holds the call.
+	// The limits of a call to the store, stricter than those of the driver: for its
+	// dial, and for its answer in addition to the time that the store holds the call.
 	modelDialLimit   = 400 * time.Millisecond
 	modelAnswerLimit = 600 * time.Millisecond
 	modelHold        = time.Second
@@ -154,7 +154,7 @@
 	})
 }
 
-// watch reads the departures after the first n from the store, for ever. Its calls
+// watch reads the departures after the first n from the store, without end. Its calls
 // fail while the queue on the link is longer than their time limits.
 func (m *linkModel) watch(n int, connected bool) {
 	if !connected {
