core/escrow, core/edge: log what closing a share returned and retained

The log told the sum that a closed router's shares returned, but not for which budgets, nor what counts as spent from then on. Where the tokens of one account went when all routers died could only be reconstructed from all of their lines.

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -98,6 +98,10 @@
 		e.handleActions(c.closer.Step(e.now, ev))
 		if c.closer.Done() && !c.done {
 			c.done = true
+			for _, share := range c.closer.Shares {
+				e.log("share_closed", "", field("node", c.closer.Dead.String()), field("budget", share.Budget),
+					field("returned", share.Returned), field("retained", share.Retained))
+			}
 			e.log("closed", "", field("node", c.closer.Dead.String()), field("returned", c.closer.Returned))
 			e.deleteNode(c.closer.Dead)
 		}
--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -89,10 +89,22 @@
 	content ShareRow
 	actions []effect.Action
 
-	// Returned is the sum that this Closer knows to have returned; transactions
-	// with a lost answer are not counted.
-	Returned      waxwingwall.Tokens
-	pendingReturn waxwingwall.Tokens
+	// Returned is the sum that this Closer knows to have returned, and Shares are
+	// the entries behind it; transactions with a lost answer are not counted.
+	Returned waxwingwall.Tokens
+	Shares   []ClosedShare
+
+	// pendingShares are the entries of the transaction in flight.
+	pendingShares []ClosedShare
+}
+
+// ClosedShare is the share of one budget that a Closer has closed.
+type ClosedShare struct {
+	// Budget is the budget that the tokens belong to.
+	Budget waxwingwall.Budget
+
+	// Returned is what went back to the pool, Retained what counts as spent.
+	Returned, Retained waxwingwall.Tokens
 }
 
 // closerStep is what a Closer does with the first pending row.
@@ -308,7 +320,7 @@
 		Expect: c.share.Version,
 		Value:  Encode(next),
 	}}
-	c.pendingReturn = 0
+	c.pendingShares = nil
 	for i, e := range batch {
 		refund := c.refund(e)
 		row, err := Decode[BudgetRow](budgets[i])
@@ -323,7 +335,11 @@
 			Expect: budgets[i].Version,
 			Value:  Encode(row),
 		})
-		c.pendingReturn += refund
+		c.pendingShares = append(c.pendingShares, ClosedShare{
+			Budget:   e.Budget,
+			Returned: refund,
+			Retained: e.Granted - refund,
+		})
 	}
 	c.step = writingClose
 	c.actions = append(c.actions, effect.Transact{
@@ -349,7 +365,10 @@
 	switch ev.Result {
 	case effect.Done:
 		c.failures = 0
-		c.Returned += c.pendingReturn
+		for _, share := range c.pendingShares {
+			c.Returned += share.Returned
+		}
+		c.Shares = append(c.Shares, c.pendingShares...)
 		c.nextCall(now)
 	case effect.Conflict:
 		c.backOff(now, conflictBackoff)
