--- a/core/escrow/even_test.go
+++ b/core/escrow/even_test.go
@@ -274,3 +274,62 @@
 		}
 	})
 }
+
+// spendUnevenly spends tokens at a constant rate until no more than left remain
+// of what was paid. Most requests go to one node, another one every 3 s.
+func (w *world) spendUnevenly(paid, left, perSecond waxwingwall.Tokens) {
+	const size = 4_000
+	start := w.now
+	before := w.spent(shop)
+	for paid-w.spent(shop) > left {
+		w.run(50 * time.Millisecond)
+		due := before + waxwingwall.Tokens(w.now.Sub(start).Seconds()*float64(perSecond))
+		for w.spent(shop) < due {
+			n := w.nodes[w.random.IntN(len(w.nodes))]
+			if !w.chance(40) {
+				n = w.nodes[int(w.now.Sub(start)/(3*time.Second))%len(w.nodes)]
+			}
+			if kind := n.serve(shop, size); kind != Granted {
+				panic(kind.String())
+			}
+			n.finish(0, size*3/4)
+		}
+	}
+}
+
+// held returns what the nodes hold unused.
+func (w *world) held() waxwingwall.Tokens {
+	var sum waxwingwall.Tokens
+	for _, n := range w.nodes {
+		sum += n.book.Balance(shop).Spare
+	}
+	return sum
+}
+
+// TestLossOfAllNodes guards against accounts that are refused though much of
+// their payment was never spent: what all nodes hold is lost if all of them die.
+// It must be within the stated part of what is left at any time, and once less
+// than a quarter is left it must be within the 3 in 100 of the payment that
+// nobody misses.
+func TestLossOfAllNodes(t *testing.T) {
+	const (
+		paid           = 1_000_000
+		perSecond      = 22_000
+		missedPercent  = 3
+		narrowFraction = 4
+	)
+	for left := waxwingwall.Tokens(900_000); left >= 50_000; left -= 50_000 {
+		w := newEvenWorld(uint64(left), 7, paid)
+		w.run(2 * time.Second)
+		w.spendUnevenly(paid, left, perSecond)
+		remaining := paid - w.spent(shop)
+		held := w.held()
+		t.Logf("%d left: %d held, %d in 100", remaining, held, held*100/remaining)
+		if held > remaining*evenMaxPercent/100 {
+			t.Errorf("%d held of %d left", held, remaining)
+		}
+		if remaining <= paid/narrowFraction && held > paid*missedPercent/100 {
+			t.Errorf("%d held with %d left: more than %d in 100 of the payment", held, remaining, missedPercent)
+		}
+	}
+}
