core/escrow: hold less of a budget in advance towards its end

Cause: what routers hold counts as spent when they die, and they held the same part of what is left, 20 to 40 in 100, down to 8 in 100 of the budget.

Why it works: near the end of a budget an outage only delays what can be paid for, as the budget runs out anyway; what is lost with routers is lost. So both bounds now shrink with the cube of what is left below half of a budget, and the estimate is bounded by what may be held at all.

--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"math"
 	"time"
 
 	"waxwingwall"
@@ -85,6 +86,12 @@
 	evenMaxPercent = 40
 	evenMinPercent = 20
 
+	// evenWideAbove is the part of a budget that must remain for these bounds to
+	// apply in full. Below it they shrink with the power evenNarrowing of what
+	// remains.
+	evenWideAbove = 0.5
+	evenNarrowing = 3
+
 	// evenCutoffPercent is the part of a budget below which nothing is held in
 	// advance, since tokens stranded at that point can't be replaced.
 	evenCutoffPercent = 8
@@ -113,18 +120,20 @@
 
 // WithEvenShares makes the nodes together hold a part of each budget in advance,
 // which they can spend without the table: from evenMinPercent to evenMaxPercent
-// of what remains, and nothing once less than evenCutoffPercent of the total
-// remains. A node may commit all of its share, so a share counts as spent if its
-// node dies.
+// of what remains, less below evenWideAbove of the total, and nothing once less
+// than evenCutoffPercent of it remains. A node may commit all of its share, so a
+// share counts as spent if its node dies.
 func WithEvenShares() Option {
 	return func(b *Book) {
 		b.pacing = &evenShares
 	}
 }
 
-// target returns how many spare tokens a share should have. The remaining
-// budget is the pool and what the nodes hold, assuming that all hold as much as
-// this one.
+// target returns how many spare tokens a share should have.
+//
+// The part of the remaining budget that is held narrows towards the end. An
+// outage then refuses requests that can be paid for later, as the budget runs
+// out in any case, but what dead nodes held can't be made up for.
 func (b *Book) target(e *entry) waxwingwall.Tokens {
 	if b.retiring {
 		return 0
@@ -133,13 +142,25 @@
 		return 0
 	}
 	nodes := waxwingwall.Tokens(len(withHolder(b.holders(e.pool.row), b.self)))
-	remaining := max(e.pool.row.Pool(), 0) + nodes*max(e.spare(), 0)
-	if remaining < e.pool.row.Total*evenCutoffPercent/100 {
+	total := e.pool.row.Total
+	remaining := b.remaining(e, nodes)
+	if total <= 0 || remaining < total*evenCutoffPercent/100 {
 		return 0
 	}
+	width := math.Pow(min(float64(remaining)/float64(total)/evenWideAbove, 1), evenNarrowing)
+	share := width * float64(remaining) / float64(nodes)
 	e.demand.decay(b.now)
-	buffer := waxwingwall.Tokens(e.demand.spendRate(b.now) * evenBufferTime.Seconds() * evenBurstFactor)
-	return min(max(buffer, remaining*evenMinPercent/100/nodes), remaining*evenMaxPercent/100/nodes)
+	buffer := e.demand.spendRate(b.now) * evenBufferTime.Seconds() * evenBurstFactor
+	return waxwingwall.Tokens(min(max(buffer, share*evenMinPercent/100), share*evenMaxPercent/100))
+}
+
+// remaining estimates what is left of a budget: the pool and what the nodes hold.
+// It assumes that all hold as much as this one, within evenMaxPercent, so that a
+// node with an unusually large share does not overestimate it.
+func (b *Book) remaining(e *entry, nodes waxwingwall.Tokens) waxwingwall.Tokens {
+	pool := max(e.pool.row.Pool(), 0)
+	spare := max(e.spare(), 0)
+	return pool + max(spare, min(nodes*spare, pool*evenMaxPercent/(100-evenMaxPercent)))
 }
 
 // needsRefresh reports whether the pool must be read again to check the size of
