core/edge, core/escrow: keep the shares of a silent router for 20 s

Cause: heartbeats and writes of the router's row wait behind the bytes of its callers for seconds, as long as a dead router is silent. Closing such a router early gains little: with even shares all of a share may have been spent, so nothing is returned.

Why it works: only a router that a newer incarnation has replaced is closed early. A silent one keeps its shares for 20 s; the longest silence of a live router in the logs is 19 s. Requests that would have to wait for its answer are refused at once, as not run (OutOfReach), so it does not delay verdicts either.

TestSilentRouterKeepsItsShares failed before: closed after 3.45 s. TestSilentHolder failed without the change of the wait: refused after 800 ms.

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -45,7 +45,8 @@
 // incarnation. It closes those of earlier incarnations of its own VM at once.
 // For others, each router waits for its turn in an order that is the same at
 // all routers, and until the incarnation's row has not changed for touchTTL,
-// because a change shows that the incarnation is live.
+// because a change shows that the incarnation is live. One that was not replaced
+// may only be silent, so it is closed much later.
 func (e *Edge) mayClose(dead waxwingwall.Incarnation, peers []member.Peer) bool {
 	n := e.nodes.rows[dead]
 	if n.deadSince.IsZero() {
@@ -61,7 +62,23 @@
 			earlier++
 		}
 	}
-	return e.now.Sub(n.deadSince) >= closeDelay+time.Duration(earlier)*closeStagger && e.now.Sub(n.changedAt) >= touchTTL
+	delay := silentCloseDelay
+	if e.isReplaced(dead, peers) {
+		delay = replacedCloseDelay
+	}
+	return e.now.Sub(n.deadSince) >= delay+time.Duration(earlier)*closeStagger && e.now.Sub(n.changedAt) >= touchTTL
+}
+
+// isReplaced reports whether a newer incarnation of the same VM has started.
+func (e *Edge) isReplaced(i waxwingwall.Incarnation, peers []member.Peer) bool {
+	for other := range e.nodes.rows {
+		if other.VM == i.VM && other.Boot > i.Boot {
+			return true
+		}
+	}
+	return slices.ContainsFunc(peers, func(p member.Peer) bool {
+		return p.Incarnation.VM == i.VM && p.Incarnation.Boot > i.Boot
+	})
 }
 
 // isDead reports whether an incarnation appears to be dead, or was replaced by
@@ -71,17 +88,15 @@
 	if i.VM == e.Self.VM {
 		return i.Boot < e.Self.Boot
 	}
-	n := e.nodes.rows[i]
+	if e.isReplaced(i, peers) {
+		return true
+	}
 	for _, p := range peers {
-		switch {
-		case p.Incarnation.VM != i.VM:
-		case p.Incarnation.Boot > i.Boot:
-			return true
-		case p.Incarnation.Boot == i.Boot:
+		if p.Incarnation == i {
 			return !p.Alive
 		}
 	}
-	return e.now.Sub(n.firstSeen) >= firstHeartbeatTimeout
+	return e.now.Sub(e.nodes.rows[i].firstSeen) >= firstHeartbeatTimeout
 }
 
 // isClosing reports whether this router is closing the shares of an
--- a/core/edge/edge_test.go
+++ b/core/edge/edge_test.go
@@ -641,3 +641,47 @@
 		t.Errorf("got %+v, want code no_route", p)
 	}
 }
+
+// closingAfter advances the time and returns when the router began to close the
+// shares of another one, or limit if it did not.
+func (h *harness) closingAfter(limit time.Duration) time.Duration {
+	for waited := time.Duration(0); waited < limit; waited += 50 * time.Millisecond {
+		for _, a := range h.advance(50 * time.Millisecond) {
+			if n, ok := a.(LogEntry); ok && n.Event == "closing" {
+				return waited
+			}
+		}
+	}
+	return limit
+}
+
+// TestSilentRouterKeepsItsShares guards against the loss of the shares of a live
+// router: while its callers fill its link it is silent for seconds, for the store as
+// well, and what it held would count as spent. A router that was started anew is
+// closed soon, one that is gone in the end.
+func TestSilentRouterKeepsItsShares(t *testing.T) {
+	row := func(boot int64) waxwingwall.Row {
+		return waxwingwall.Row{
+			Key: NodeKey(waxwingwall.Incarnation{
+				VM:   "vm-2",
+				Boot: boot,
+			}),
+			Version: boot,
+			Value:   `{"peers":"10.0.0.2:1","callers":"10.0.0.2:2","domain":"d2"}`,
+		}
+	}
+	const longestSilence = 15 * time.Second
+	h := newHarness(t)
+	h.step(Nodes{Snapshot: true, Rows: []waxwingwall.Row{row(1)}})
+	if after := h.closingAfter(longestSilence); after < longestSilence {
+		t.Errorf("a silent router was closed after %s", after)
+	}
+	if h.closingAfter(time.Minute) == time.Minute {
+		t.Error("a router that is gone was not closed")
+	}
+	h = newHarness(t)
+	h.step(Nodes{Snapshot: true, Rows: []waxwingwall.Row{row(1), row(2)}})
+	if after := h.closingAfter(time.Minute); after > 5*time.Second {
+		t.Errorf("the earlier incarnation of a router was closed after %s", after)
+	}
+}
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -21,10 +21,14 @@
 	// Shards is the number of share rows over which a router spreads its budgets.
 	Shards = 4
 
-	// closeDelay is how long a router must have been dead before its shares are
-	// closed; each further candidate for closing them waits closeStagger longer.
-	closeDelay   = 500 * time.Millisecond
-	closeStagger = 700 * time.Millisecond
+	// replacedCloseDelay is how long a router must have been dead before its shares
+	// are closed if a newer incarnation of its VM has started, silentCloseDelay if
+	// not: a full link silences a live router for seconds, and closing it returns
+	// little, as all of a share may be spent. Each further candidate for closing
+	// them waits closeStagger longer.
+	replacedCloseDelay = 500 * time.Millisecond
+	silentCloseDelay   = 20 * time.Second
+	closeStagger       = 700 * time.Millisecond
 
 	// firstHeartbeatTimeout is the time after its row was first seen from which a
 	// router without any heartbeat counts as dead.
--- a/core/escrow/even_test.go
+++ b/core/escrow/even_test.go
@@ -417,3 +417,23 @@
 		t.Errorf("%d held of %d left, %d in 100", held, remaining, held*100/remaining)
 	}
 }
+
+// TestSilentHolder guards against requests that wait for the answer of a holder that
+// is known to be silent: they are refused at once, and not as exhausted, since it may
+// be live.
+func TestSilentHolder(t *testing.T) {
+	w := newEvenWorld(1, 3, 30_000)
+	w.run(2 * time.Second)
+	w.nodes[0].dead = true
+	peers := []waxwingwall.Incarnation{w.nodes[1].book.self, w.nodes[2].book.self}
+	for _, n := range w.nodes[1:] {
+		n.book.SetPeers(peers)
+	}
+	before := w.now
+	if kind := w.nodes[1].serve(shop, 29_000); kind != OutOfReach {
+		t.Fatalf("verdict %s", kind)
+	}
+	if took := w.now.Sub(before); took > 200*time.Millisecond {
+		t.Fatalf("refused after %s", took)
+	}
+}
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -65,6 +65,7 @@
 type holderReport struct {
 	node       waxwingwall.Incarnation
 	answered   bool
+	silent     bool
 	free, held waxwingwall.Tokens
 	moves      uint64
 }
@@ -235,17 +236,22 @@
 		}
 		b.startRound(e)
 	}
-	answered := 0
+	answered, silent := 0, 0
 	for i := range w.reports {
-		if w.reports[i].answered {
+		switch {
+		case w.reports[i].answered:
 			answered++
+		case w.reports[i].silent:
+			silent++
 		}
 	}
-	allAnswered := answered == len(w.reports)
-	if !allAnswered && b.now.Before(w.askedAt.Add(roundTimeout)) {
+	if answered+silent < len(w.reports) && b.now.Before(w.askedAt.Add(roundTimeout)) {
 		return
 	}
-	b.evaluateRound(e, allAnswered)
+	b.evaluateRound(e, answered == len(w.reports))
+	if w.open && w.round == 0 && silent > 0 && !w.register {
+		b.resolve(e, OutOfReach, 0, "holders_silent")
+	}
 }
 
 // startRound begins a round of reports.
@@ -263,13 +269,22 @@
 		}
 	}
 	for _, node := range b.others(nodes) {
+		silent := b.silent(node)
 		w.reports = append(w.reports, holderReport{
-			node: node,
+			node:   node,
+			silent: silent,
 		})
-		b.ask(e, node, 0, w.round)
+		if !silent {
+			b.ask(e, node, 0, w.round)
+		}
 	}
 }
 
+// silent reports whether a holder is not among the live peers: it would not answer.
+func (b *Book) silent(node waxwingwall.Incarnation) bool {
+	return b.pacing.evenShares && len(b.peers) > 0 && !isHolder(b.peers, node)
+}
+
 // evaluateRound decides the next step from the answers of a round.
 func (b *Book) evaluateRound(e *entry, allAnswered bool) {
 	w := &e.wait
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,7 +57,8 @@
 
 	// After the last fault has ended, the fleet runs for recoveryTime - faultWindow
 	// before the checks. This must exceed firstHeartbeatTimeout and touchTTL of
-	// package edge, after which the shares of a dead router are closed.
+	// package edge, after which the shares of a router that was started anew are
+	// closed.
 	recoveryTime = 12 * time.Second
 
 	// readinessPrefix is the ID prefix of calls that check whether a router serves.
