core/intake, relay: accept no more bodies than the link sends on

On the grown tanks site one account sends 3.3 MB/s of bodies to a router whose link carries 1.25 MB/s. Its calls to the store and to peers wait behind them for seconds: requests are refused for budgets that are there, lists of endpoints grow too old, and peers take the router for dead.

Cause: a router accepted every body and only refused once new connections took over a second. What it accepts leaves by the same link, so each body counts twice.

Why it works: the length of a body is known from its head. A model of the link's queue refuses at once, as not run, while over 150 ms of accepted bytes wait. The length of the body itself does not matter, so that no kind of request starves. Refused callers are asked to return in order, as the link can carry them.

TestFullLinkRefusesBodies failed before: 60 of 60 taken.

--- a/relay/head.go
+++ b/relay/head.go
@@ -35,6 +35,9 @@
 			RetryAfter: busyRetryAfter,
 		}
 	}
+	if problem := p.relay.link.accept(p.r.ContentLength); problem != nil {
+		return problem
+	}
 	return p.readBody(limits)
 }
 
@@ -69,6 +72,9 @@
 		p.relay.log.WithError(err).Warning("no_read_deadline")
 	}
 	p.body = body
+	if p.r.ContentLength < 0 {
+		p.relay.link.add(len(body))
+	}
 	p.relay.bodyBytes.Add(int64(len(body)))
 	p.fingerprint()
 	return nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,6 +28,7 @@
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
+	"waxwingwall/core/intake"
 	"waxwingwall/core/member"
 	"waxwingwall/io/logline"
 	"waxwingwall/io/origin"
@@ -63,6 +64,7 @@
 	origins  *origin.Pool
 	links    *peer.Links
 	codec    waxwingwall.HeaderCodec
+	link     link
 
 	// edge, sampler, self and requests are owned by the control goroutine.
 	edge     *edge.Edge
@@ -130,10 +132,13 @@
 		log:      logrus.NewEntry(logrus.StandardLogger()),
 		codec:    platform.Headers{},
 		requests: map[uint64]*proxyRequest{},
-		inbox:    make(chan job, inboxSize),
-		ctx:      ctx,
-		cancel:   cancel,
-		drained:  make(chan struct{}),
+		link: link{
+			limiter: intake.New(s.LinkMbps),
+		},
+		inbox:   make(chan job, inboxSize),
+		ctx:     ctx,
+		cancel:  cancel,
+		drained: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(r)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -37,6 +37,10 @@
 	ledgers []*standin.Endpoint
 	relays  []*testRelay
 	calls   int
+
+	// linkMbps is the link speed of the relays that are started next; zero if it
+	// is unknown.
+	linkMbps int
 }
 
 // testRelay is one relay with its settings and its log.
@@ -115,6 +119,7 @@
 		RetryRatio:   0.2,
 		RetryReserve: 50,
 		RetryWindow:  10 * time.Second,
+		LinkMbps:     f.linkMbps,
 	}
 	log := logrus.New()
 	buffer := &lockedBuffer{}
@@ -293,6 +298,30 @@
 	}
 }
 
+// TestFullLinkRefusesBodies guards against a router that takes more bodies than its
+// link carries on: what it can't carry is refused at once as not run.
+func TestFullLinkRefusesBodies(t *testing.T) {
+	f := newFleet(t, 0, testAccount)
+	f.linkMbps = 1
+	n := f.start("vm-0")
+	var served, refused int
+	for i := range 60 {
+		id := fmt.Sprintf("body-%d", i)
+		a := f.callAs(n, id, "key", "/order/", strings.Repeat("x", 900), 0, 0)
+		switch {
+		case a.status == http.StatusOK:
+			served++
+		case a.status == http.StatusServiceUnavailable && a.header.Get("Retry-After") != "" && len(f.runs(id)) == 0:
+			refused++
+		default:
+			t.Fatalf("%+v", a)
+		}
+	}
+	if served == 0 || refused < 20 {
+		t.Fatalf("%d served, %d refused", served, refused)
+	}
+}
+
 // TestSlowBody: a request whose body stalls is answered with 408.
 func TestSlowBody(t *testing.T) {
 	f := newFleet(t, 1, testAccount)
--- a/relay/request.go
+++ b/relay/request.go
@@ -27,6 +27,10 @@
 	// copyBufferBytes is the size of the buffer for forwarding an answer.
 	copyBufferBytes = 16 << 10
 
+	// packetOverhead is the number of bytes on the link in addition to a part of an
+	// answer.
+	packetOverhead = 60
+
 	// writeTimeout limits how long a caller may take to accept one part of its
 	// answer.
 	writeTimeout = 10 * time.Second
@@ -195,6 +199,7 @@
 	copyHeader(p.w.Header(), p.bufferedAnswer.header)
 	p.w.Header().Set("Content-Length", strconv.Itoa(len(p.bufferedAnswer.body)))
 	p.w.WriteHeader(p.bufferedAnswer.status)
+	p.relay.link.add(len(p.bufferedAnswer.body))
 	// An error means that the caller disconnected; it may retry.
 	_, _ = p.w.Write(p.bufferedAnswer.body)
 }
@@ -454,6 +459,7 @@
 	if _, err := p.w.Write(b); err != nil {
 		return false
 	}
+	p.relay.link.add(len(b) + packetOverhead)
 	return c.Flush() == nil
 }
 
