core/quarantine, core/edge, core/sched: block parts of prompts that crash engines

Cause: what was counted were fingerprints of whole requests, and no two of these are alike.

Why it works: crashes are counted by the parts of the runs that had no part of their answers. Complete answers clear the parts that sound requests share, and a part that another one explains is let through, which settles which of them it is.

The same cause on the other request path: core/sched counted fingerprints alone as well; it now counts the prefixes of prompts. Instances of an engine can't be told apart there, so four different engines must have crashed.

The new spec of core/sched was not seen to fail.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -55,12 +55,18 @@
 		timeout = defaultTimeout
 	}
 	r.deadline = r.arrived.Add(timeout)
-	if e.crashes.table.Blocked(e.now, r.call.Fingerprint) {
-		return e.unavailableProblem("quarantined", "this request crashed the endpoints that ran it", crashRetention)
+	if e.quarantined(r) {
+		return e.quarantineProblem()
 	}
 	return e.checkLink(r)
 }
 
+// quarantineProblem returns the answer to a request that crashed endpoints, or that has
+// a part in common with those that did.
+func (e *Edge) quarantineProblem() *waxwingwall.Problem {
+	return e.unavailableProblem("quarantined", "requests like this one crashed the endpoints that ran them", crashRetention)
+}
+
 // unknownProblem returns the answer to a request for something that is not in
 // the configuration; a newer configuration may contain it.
 func (e *Edge) unknownProblem(status int, code, message string) *waxwingwall.Problem {
@@ -78,6 +84,11 @@
 		return
 	}
 	r.budget = waxwingwall.Budget(r.account.Name)
+	if r.waiting && e.quarantined(r) {
+		r.waiting = false
+		e.refuse(r, e.quarantineProblem())
+		return
+	}
 	verdict := e.book.Reserve(e.now, r.budget, worstCase)
 	switch verdict.Kind {
 	case escrow.Granted:
--- a/core/edge/crashing_test.go
+++ b/core/edge/crashing_test.go
@@ -154,10 +154,11 @@
 }
 
 // dialed returns the result of a dial.
-func dialed(address netip.AddrPort, _ bool) Dialed {
+func dialed(address netip.AddrPort, refused bool) Dialed {
 	return Dialed{
 		Address: address,
 		Took:    time.Millisecond,
+		Refused: refused,
 	}
 }
 
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -149,6 +149,9 @@
 			table: quarantine.Table{
 				Retention: crashRetention,
 			},
+			parts: quarantine.Parts{
+				Retention: crashRetention,
+			},
 		},
 	}
 	for _, o := range opts {
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -69,6 +69,9 @@
 	// Reads are the prompt parts that the sender sent to endpoints since its last
 	// report, except the last part of each prompt, which other callers don't share.
 	Reads []PartRead
+
+	// Suspects are the blocked parts of prompts, for peers that missed the crashes.
+	Suspects []quarantine.Suspect
 }
 
 // PartRead is a prompt part that an endpoint has read.
@@ -103,10 +106,12 @@
 	Departures []Departure
 }
 
-// Crashes reports requests that crashed endpoints.
+// Crashes reports requests that crashed endpoints, and what is known of the parts of
+// their prompts.
 type Crashes struct {
-	// Notices are merged by the receiver.
-	Notices []quarantine.Notice
+	// Notices and Suspects are merged by the receiver.
+	Notices  []quarantine.Notice
+	Suspects []quarantine.Suspect
 }
 
 // gossipState is the state of the exchange between routers.
@@ -164,6 +169,7 @@
 		EndpointsStale: e.endpointsStale(),
 		Departures:     e.departures.list(e.now),
 		Reads:          e.gossip.pendingReads,
+		Suspects:       e.crashes.parts.List(e.now),
 	}
 	e.gossip.pendingReads = nil
 	for _, s := range e.config.configuration.Services {
@@ -239,6 +245,7 @@
 			}
 		}
 		e.handleDepartures(m.Departures)
+		e.mergeSuspects(m.Suspects)
 		e.askIfBehind(ev.From, m)
 	case Departures:
 		e.handleDepartures(m.Departures)
@@ -250,6 +257,14 @@
 		for _, n := range m.Notices {
 			e.crashes.table.Merge(e.now, n)
 		}
+		e.mergeSuspects(m.Suspects)
+	}
+}
+
+// mergeSuspects applies what a peer knows of parts of prompts.
+func (e *Edge) mergeSuspects(suspects []quarantine.Suspect) {
+	for _, s := range suspects {
+		e.crashes.parts.Merge(e.now, s)
 	}
 }
 
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -53,6 +53,9 @@
 
 	// Took is the time until the connection was open or the attempt ended.
 	Took time.Duration
+
+	// Refused is set if the VM refused the connection: nothing listens there.
+	Refused bool
 }
 
 // link is the estimated state of the VM's link. A queue on the link delays
@@ -116,6 +119,10 @@
 	e.link.addDial(e.now, ev)
 	delay := e.link.queueDelay(e.now)
 	e.link.clear.add(e.now, ev.Took)
+	if ev.Refused {
+		e.crashes.addressChanged(e.now, ev.Address)
+		e.countCrashes()
+	}
 	if delay >= clearRoundTrip {
 		e.link.clear = clearLink{}
 	}
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -76,6 +76,9 @@
 	events int
 	offset string
 
+	// eventsBefore is the value of events when the last attempt began.
+	eventsBefore int
+
 	// completed is set once the caller has the whole answer.
 	completed bool
 }
@@ -208,7 +211,7 @@
 	target := r.endpoint
 	e.addLoad(r, -1)
 	r.endpoint = nil
-	r.events = ev.Events
+	r.eventsBefore, r.events = r.events, ev.Events
 	if ev.Offset != "" {
 		r.offset = ev.Offset
 	}
@@ -269,7 +272,7 @@
 		r.runs++
 		target.recordRun(e.now, true)
 		target.recordUnreachable(e.now)
-		e.crashes.addBroken(e.now, r.call.Fingerprint, target.replica)
+		e.handleBroken(r, target, ev.Events > r.eventsBefore)
 	case IdleTimeout:
 		r.runs++
 		target.recordRun(e.now, true)
@@ -291,7 +294,7 @@
 // from the retry budget.
 func (e *Edge) takeRetry(r *request, ev AttemptEnded) bool {
 	remaining := r.deadline.Sub(e.now)
-	if remaining < minAttemptTime || e.crashes.table.Blocked(e.now, r.call.Fingerprint) {
+	if remaining < minAttemptTime || e.quarantined(r) {
 		return false
 	}
 	switch ev.Result {
@@ -373,6 +376,7 @@
 // bill as well.
 func (e *Edge) finish(r *request, target *endpoint, ev AttemptEnded) {
 	r.completed = true
+	e.clearParts(r)
 	reserved := r.reserved
 	used, _ := e.charge(r)
 	e.log("served", r.call.ID,
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -1,4 +1,6 @@
-// Package quarantine blocks requests that crash the endpoints that run them.
+// Package quarantine blocks requests that crash the endpoints that run them: whole
+// requests that come again (Table), and unlike ones that share a part of their prompts
+// (Parts).
 //
 // Each router keeps a Table of request fingerprints and of the crashes that
 // ended their runs. A crash also ends the runs of unrelated requests, so a
--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -43,8 +43,10 @@
 	// Loads counts the sender's running requests by endpoint.
 	Loads []EndpointLoad
 
-	// Suspects are new crash notices.
+	// Suspects are new crash notices, Parts what changed about the prefixes of
+	// prompts under which endpoints crashed.
 	Suspects []quarantine.Notice
+	Parts    []quarantine.Suspect
 }
 
 // FlowDemand is a router's demand for one account, rank and model.
@@ -118,6 +120,9 @@
 	for _, n := range d.Suspects {
 		s.crashes.Merge(now, n)
 	}
+	for _, part := range d.Parts {
+		s.parts.Merge(now, part)
+	}
 	for _, p := range s.peers {
 		if p.inc == ev.From && d.Seq > p.lastDemand.Seq {
 			p.lastDemand = d
@@ -188,7 +193,7 @@
 	return false
 }
 
-func (s *Scheduler) sendDemand(now time.Time, notices []quarantine.Notice) []effect.Action {
+func (s *Scheduler) sendDemand(now time.Time, notices []quarantine.Notice, parts ...quarantine.Suspect) []effect.Action {
 	s.demandUnsent = false
 	s.lastSent = now
 	s.seq++
@@ -197,6 +202,7 @@
 		Flows:    s.flowDemands(now),
 		Loads:    s.endpointLoads(now),
 		Suspects: notices,
+		Parts:    parts,
 	}
 	var acts []effect.Action
 	for _, p := range s.peers {
--- a/core/sched/offer.go
+++ b/core/sched/offer.go
@@ -70,7 +70,7 @@
 	if c == nil {
 		return nil, notRunProblem(http.StatusBadRequest, "unknown_rank", "The rank is not configured.", 0)
 	}
-	if s.crashes.Blocked(now, w.Fingerprint) {
+	if s.isBlocked(now, w) {
 		return nil, quarantinedProblem()
 	}
 	s.seq++
--- /dev/null
+++ b/core/sched/parts.go
@@ -0,0 +1,50 @@
+package sched
+
+import (
+	"time"
+
+	"waxwingwall/core/effect"
+	"waxwingwall/core/quarantine"
+)
+
+// sharedPrefixes returns the hashes of the prefixes of a prompt that other requests may
+// have: all but that of the whole prompt.
+func sharedPrefixes(w Work) []uint64 {
+	return w.Prefix[:max(len(w.Prefix)-1, 0)]
+}
+
+// isBlocked reports whether work must not run, as it or a prefix of its prompt crashed
+// endpoints.
+func (s *Scheduler) isBlocked(now time.Time, w Work) bool {
+	if s.crashes.Blocked(now, w.Fingerprint) {
+		return true
+	}
+	part, blocked := s.parts.Blocked(sharedPrefixes(w))
+	if blocked {
+		s.parts.Refused(now, part)
+	}
+	return blocked
+}
+
+// suspectParts records a crash under the prefixes of a job that had no output yet, and
+// returns what is news for the peers. An endpoint that crashes repeatedly counts once,
+// since its instances can't be told apart here.
+func (s *Scheduler) suspectParts(now time.Time, j *job, e *endpoint) []quarantine.Suspect {
+	if j.hasOutput {
+		return nil
+	}
+	shared := sharedPrefixes(j.work)
+	if !s.parts.Record(now, quarantine.Crash{Endpoint: e.spec.Name}, shared) {
+		return nil
+	}
+	return s.parts.Get(now, shared)
+}
+
+// clearParts clears the prefixes of a job that was answered.
+func (s *Scheduler) clearParts(now time.Time, j *job) []effect.Action {
+	cleared := s.parts.Clear(now, j.dispatchedAt, sharedPrefixes(j.work))
+	if len(cleared) == 0 || s.self.IsZero() {
+		return nil
+	}
+	return s.sendDemand(now, nil, cleared...)
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -234,6 +234,7 @@
 	retries     retry.Budget
 	preemptions retry.Budget
 	crashes     quarantine.Table
+	parts       quarantine.Parts
 
 	// pendingActions are returned by the next Step.
 	pendingActions []effect.Action
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -296,6 +296,39 @@
 		Expect(peer.offer("other", 0).Decision).To(Equal(sched.Queued))
 	})
 
+	// Requests that are unlike but for one prefix of their prompts must not crash
+	// engine after engine.
+	It("blocks a prefix under which four engines crashed, at peers as well, and none that others share", func() {
+		poison := func(w *sched.Work) { w.Prefix = []uint64{1, 0xbad, 1000 + w.Fingerprint} }
+		sound := func(w *sched.Work) { w.Prefix = []uint64{1, 2000 + w.Fingerprint} }
+		a := waxwingwall.Incarnation{VM: "a", Boot: 1}
+		b := waxwingwall.Incarnation{VM: "b", Boot: 1}
+		r := newRig(sched.WithSelf(a))
+		r.s.SetPeers(r.now, []waxwingwall.Incarnation{b})
+		r.s.SetEndpoints(r.now, endpoints(8))
+		crashes := 0
+		for range 8 {
+			if r.offer("shop", 0, poison, nonIdempotent).Decision == sched.Refused {
+				break
+			}
+			crashes++
+			r.finish(r.last(), sched.Crashed)
+			r.advance(100 * time.Millisecond)
+		}
+		Expect(crashes).To(Equal(4))
+		Expect(r.offer("shop", 0, sound).Decision).To(Equal(sched.Queued))
+		peer := newRig(sched.WithSelf(b))
+		peer.s.SetPeers(r.now, []waxwingwall.Incarnation{a})
+		for _, m := range r.sends {
+			peer.step(effect.Received{
+				From:    a,
+				Message: m.Message,
+			})
+		}
+		Expect(peer.offer("other", 0, poison).Decision).To(Equal(sched.Refused))
+		Expect(peer.offer("other", 0, sound).Decision).To(Equal(sched.Queued))
+	})
+
 	// The crash of an engine creates suspects at the same time at all routers
 	// that had a run there, and each router must find an endpoint for its own.
 	It("runs suspects of different routers on separate endpoints", func() {
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -85,6 +85,7 @@
 	}
 	s.lastMaintenance = now
 	s.crashes.Expire(now)
+	s.parts.Expire(now)
 	s.updatePeerInFlight(now)
 	s.dropIdleFlows(now)
 	s.peerDemandStale = true
@@ -238,9 +239,9 @@
 
 // dropBlocked refuses quarantined work at the head of a queue.
 func (s *Scheduler) dropBlocked(now time.Time, f *flow) {
-	for s.crashes.Len() > 0 && len(f.queue) > 0 {
+	for s.crashes.Len()+s.parts.Len() > 0 && len(f.queue) > 0 {
 		j := f.queue[0]
-		if !s.crashes.Blocked(now, j.work.Fingerprint) {
+		if !s.isBlocked(now, j.work) {
 			return
 		}
 		s.drop(j)
@@ -384,17 +385,18 @@
 	}
 	e := j.endpoint
 	j.tokens = max(j.tokens, ev.Tokens)
+	var acts []effect.Action
 	if ev.Failure == None || ev.Failure == Cancelled {
 		if ev.Failure == None {
 			s.recordSuccess(now, j, e)
+			acts = s.clearParts(now, j)
 		}
 		s.drop(j)
-		return nil
+		return acts
 	}
 	if ev.Failure != IdleTimeout || j.newConnection {
 		e.backOff(now)
 	}
-	var acts []effect.Action
 	if ev.Failure == Crashed {
 		acts = s.recordCrash(now, j, e)
 	}
@@ -421,11 +423,15 @@
 
 // recordCrash counts a crash and notifies the peers at once.
 func (s *Scheduler) recordCrash(now time.Time, j *job, e *endpoint) []effect.Action {
-	n, counted := s.crashes.RecordCrash(now, s.self, j.work.Fingerprint, e.spec.Name)
-	if !counted || s.self.IsZero() {
+	var notices []quarantine.Notice
+	if n, counted := s.crashes.RecordCrash(now, s.self, j.work.Fingerprint, e.spec.Name); counted {
+		notices = append(notices, n)
+	}
+	parts := s.suspectParts(now, j, e)
+	if len(notices)+len(parts) == 0 || s.self.IsZero() {
 		return nil
 	}
-	return s.sendDemand(now, []quarantine.Notice{n})
+	return s.sendDemand(now, notices, parts...)
 }
 
 // handleFailure queues a failed job for a retry if that is allowed, or ends it.
@@ -443,7 +449,7 @@
 		return nil
 	}
 	s.drop(j)
-	if s.crashes.Blocked(now, j.work.Fingerprint) {
+	if s.isBlocked(now, j.work) {
 		return []effect.Action{s.refuse(j, quarantinedProblem())}
 	}
 	p := notRunProblem(http.StatusBadGateway, "endpoint_failed",
@@ -466,7 +472,7 @@
 	if !j.work.Idempotent || j.flow == nil || j.attempt >= maxAttempts {
 		return false
 	}
-	if s.crashes.Blocked(now, j.work.Fingerprint) {
+	if s.isBlocked(now, j.work) {
 		return false
 	}
 	return s.retries.Left() >= 1
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -137,8 +137,8 @@
 type Pool struct {
 	dialer *net.Dialer
 
-	// onDial is called after each dial, successful or not.
-	onDial func(to netip.AddrPort, took time.Duration)
+	// onDial is called after each dial; err is nil if it succeeded.
+	onDial func(to netip.AddrPort, took time.Duration, err error)
 
 	// mu guards the fields below. idle holds the idle connections by address, the
 	// most recently used last.
@@ -154,7 +154,7 @@
 func New(opts ...Option) (*Pool, func()) {
 	p := &Pool{
 		dialer: tcp.Dialer(),
-		onDial: func(netip.AddrPort, time.Duration) {},
+		onDial: func(netip.AddrPort, time.Duration, error) {},
 		idle:   map[netip.AddrPort][]*conn{},
 	}
 	for _, o := range opts {
@@ -166,9 +166,9 @@
 // Option configures a Pool.
 type Option func(*Pool)
 
-// WithDialObserver sets a function that receives the duration of each dial,
-// successful or not.
-func WithDialObserver(onDial func(to netip.AddrPort, took time.Duration)) Option {
+// WithDialObserver sets a function that receives the duration of each dial and its
+// error, if it failed.
+func WithDialObserver(onDial func(to netip.AddrPort, took time.Duration, err error)) Option {
 	return func(p *Pool) {
 		p.onDial = onDial
 	}
@@ -258,7 +258,7 @@
 	}
 	began := time.Now()
 	nc, err := dialer.DialContext(ctx, "tcp", to.String())
-	p.onDial(to, time.Since(began))
+	p.onDial(to, time.Since(began), err)
 	if err != nil {
 		return nil, trace.Wrap(ErrUnreachable, "%v", err)
 	}
--- a/relay/control.go
+++ b/relay/control.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -100,10 +101,11 @@
 }
 
 // reportDial reports a dial of an endpoint to the control goroutine.
-func (r *Relay) reportDial(to netip.AddrPort, took time.Duration) {
+func (r *Relay) reportDial(to netip.AddrPort, took time.Duration, err error) {
 	r.postEvent(edge.Dialed{
 		Address: to,
 		Took:    took,
+		Refused: errors.Is(err, syscall.ECONNREFUSED),
 	})
 }
 
