--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -67,18 +67,7 @@
 			}
 			t.Cleanup(func() { _ = l.Close() })
 			go endless(l, test.start, test.filler)
-			service, good := "ledger", f.ledgers
-			if test.route == "draft" {
-				service, good = "model", f.engines
-			}
-			for _, e := range good {
-				e.RegisteredAddress = l.Addr().String()
-				f.store.Put("servers", e.ID, e.Registration(service, "ready"))
-			}
-			f.waitUntil("the address is in force", func() bool {
-				text, err := state(f.relays[0])
-				return err == nil && strings.Count(text, l.Addr().String()) == len(good)
-			})
+			f.useListener(l, test.route)
 			stop, peak := make(chan struct{}), make(chan uint64)
 			go samplePeak(stop, peak)
 			prompt := 0
