core/escrow: count only nodes that hold tokens as holders

Cause: what may be held is spread over the holders, and every node that drew or once held a share stayed among them.

Why it works: a node that draws only to pass on names the receiver as holder, one that has returned its share leaves the list, and in a large fleet one that has used or passed on all of it and is no longer in use as well. Nodes that were never used hold nothing there.

TestDonorIsNoHolder failed before: three holders, one of them in use.

--- a/core/escrow/even_test.go
+++ b/core/escrow/even_test.go
@@ -437,3 +437,21 @@
 		t.Fatalf("refused after %s", took)
 	}
 }
+
+// TestDonorIsNoHolder guards against small shares at the nodes in use: a node that only
+// draws for another one does not count among the holders, over whom what may be held is
+// spread, nor does one that has returned its share.
+func TestDonorIsNoHolder(t *testing.T) {
+	w := newEvenWorld(1, 20, 10_000_000)
+	w.run(2 * time.Second)
+	busy := w.nodes[:2]
+	w.spendAt(busy, 10_000_000, 9_000_000, 100_000)
+	busy[0].cutOff = true
+	w.spendAt(busy[:1], 10_000_000, 3_000_000, 500_000)
+	busy[0].cutOff = false
+	w.run(2 * evenIdleTimeout)
+	w.spendAt(busy[:1], 10_000_000, 2_900_000, 10_000)
+	if holders := w.budget(shop).Holders; len(holders) != 1 || holders[0] != busy[0].book.self {
+		t.Fatalf("holders %v", holders)
+	}
+}
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -138,7 +138,7 @@
 	if b.retiring {
 		return 0
 	}
-	if b.largeFleet() && !e.lastActive.IsZero() && b.now.Sub(e.lastActive) >= evenIdleTimeout {
+	if b.unused(e) {
 		return 0
 	}
 	nodes := waxwingwall.Tokens(len(withHolder(b.holders(e.pool.row), b.self)))
@@ -169,6 +169,12 @@
 	return b.pacing.evenShares && e.spare() > 0 && !b.now.Before(e.holdUntil) && b.now.Sub(e.pool.at) >= evenRefreshInterval
 }
 
+// unused reports whether this node should hold nothing of a budget: in a large fleet,
+// unless requests used it lately.
+func (b *Book) unused(e *entry) bool {
+	return b.largeFleet() && b.now.Sub(e.lastActive) >= evenIdleTimeout
+}
+
 // largeFleet reports whether there are so many nodes that only those in use
 // hold tokens.
 func (b *Book) largeFleet() bool {
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -72,7 +72,7 @@
 		sendable = max(next.Allowance-e.net()-e.pending(), 0)
 	}
 	next.Sendable = max(next.Sendable, e.sent+e.pending()+sendable)
-	register := draw == 0 && b.needsRegistration(e)
+	register := draw == 0 && (b.needsRegistration(e) || e.pool.known && b.needsDeregistration(e))
 	if !register && giveBack == 0 && !e.worthWriting(next, buffer, draw) {
 		return change{}, false
 	}
@@ -85,11 +85,35 @@
 		c.pool = e.pool.row
 		c.pool.Granted += draw
 		c.pool.Returned += giveBack
-		c.pool.Holders = withHolder(b.holders(c.pool), b.self)
+		c.pool.Holders = b.nextHolders(e, next)
 	}
 	return c, true
 }
 
+// nextHolders returns the holders after a change of an entry: with the peers for which
+// this node draws, but with this node only if it holds tokens itself. A node that only
+// passes tokens on would make the shares of all holders smaller.
+func (b *Book) nextHolders(e *entry, next ShareEntry) []waxwingwall.Incarnation {
+	holders := b.holders(e.pool.row)
+	for i := range e.peers {
+		if p := &e.peers[i]; p.drawing && p.pending > 0 {
+			holders = withHolder(holders, p.node)
+		}
+	}
+	unused := next.Granted - e.net() - e.drawing()
+	if unused == 0 && e.reserved == 0 && !e.wait.open {
+		return withoutHolder(holders, b.self)
+	}
+	return withHolder(holders, b.self)
+}
+
+// needsDeregistration reports whether this node is still among the holders, though it
+// has passed on or used up its share of a budget that it should hold nothing of.
+func (b *Book) needsDeregistration(e *entry) bool {
+	return b.pacing.evenShares && b.unused(e) && e.spare() == 0 && e.reserved == 0 && e.pending() == 0 && !e.wait.open &&
+		isHolder(e.pool.row.Holders, b.self)
+}
+
 // needsRegistration reports whether this node must be added to the holders: it
 // holds tokens of peers or is about to ask for them.
 func (b *Book) needsRegistration(e *entry) bool {
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -182,6 +182,9 @@
 	if e.received > 0 && e.spare() > 0 {
 		return true
 	}
+	if b.needsDeregistration(e) {
+		return true
+	}
 	if b.pacing.evenShares {
 		eligible := !e.lastActive.IsZero() || len(b.entries) <= evenPrefetchBudgets && !b.largeFleet()
 		return eligible && !b.now.Before(e.quietUntil) && !b.now.Before(e.holdUntil) && (b.belowTarget(e) || b.surplus(e) > 0)
