platform, core/escrow, core/edge: go on after the store came back from a copy

In a drill the store may come back from a copy some seconds old, with the next number in the header Store-Era. What routers wrote since is gone, and revisions are given out again.

Cause of what would happen: watches rejected each answer with a lower revision than before and so read nothing until the store's counter had passed it; pools seemed to hold what others had drawn since the copy; and a version that was given out again could pass for an earlier one.

Why it works: revisions outside platform hold the era in their upper bits, so none of an earlier era matches or seems newer. Routers write their shares anew, add what they had drawn to the budgets' rows, and draw nothing until all live ones have done so. A return without an answer counts as done, as others may have drawn it.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -193,6 +193,9 @@
 	)
 	e.nodes.registered = false
 	e.fundBudgets()
+	if e.nodes.restoring {
+		e.freezeBook()
+	}
 }
 
 // Step processes an event and returns the resulting actions.
@@ -213,6 +216,8 @@
 		e.handleReplicas(ev)
 	case Nodes:
 		e.handleNodes(ev)
+	case StoreEra:
+		e.handleStoreEra(ev)
 	case effect.Received:
 		e.handleMessage(ev)
 		e.stepComponents(ev)
@@ -235,6 +240,7 @@
 // tick runs the systems that depend on time alone.
 func (e *Edge) tick() {
 	e.register()
+	e.restoreStep()
 	e.closeDead()
 	e.sendReports()
 	e.endpoints.expireParts(e.now)
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -156,6 +156,18 @@
 	Unavailable bool
 }
 
+// StoreEra is the event of a new era of the store: it came back from a copy, without its
+// latest writes.
+type StoreEra struct {
+	effect.IsEvent
+
+	// MinVersion is less than all versions of the era, and greater than those before.
+	MinVersion int64
+
+	// First is set for the first era that this router has seen; it has lost nothing.
+	First bool
+}
+
 // Dispatch requests an attempt.
 type Dispatch struct {
 	effect.IsAction
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -70,6 +70,9 @@
 
 	// Touch counts the updates that show that the router is live.
 	Touch int `json:"touch,omitempty"`
+
+	// Era is the StoreEra.MinVersion in which the router has written all of its rows.
+	Era int64 `json:"era,omitempty"`
 }
 
 // node is a router according to its row.
@@ -98,8 +101,16 @@
 	// write in flight, zero if there is none.
 	registered  bool
 	pendingCall uint64
+	pendingEra  int64
 	calledAt    time.Time
 
+	// era is the newest StoreEra.MinVersion, writtenEra the one in the router's own row.
+	// restoring is set from restoredAt until all routers have written their rows in
+	// that era.
+	era, writtenEra int64
+	restoring       bool
+	restoredAt      time.Time
+
 	// touch is the content of nodeRow.Touch; touchedAt is when the router last
 	// issued a write of its own row.
 	touch     int
@@ -311,7 +322,8 @@
 		peerUnresponsive = peerUnresponsive || !p.Alive || p.Suspect
 	}
 	touch := t.registered && peerUnresponsive && e.now.Sub(t.touchedAt) >= touchInterval
-	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch {
+	outdated := t.writtenEra != e.ownEra()
+	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch && !outdated {
 		return
 	}
 	if touch {
@@ -330,12 +342,14 @@
 		Domain:   e.info.Domain,
 		LinkMbps: e.info.LinkMbps,
 		Touch:    t.touch,
+		Era:      e.ownEra(),
 	})
 	if err != nil {
 		panic(err) // The row contains only values that JSON can encode.
 	}
 	e.callSeq++
 	t.pendingCall = e.callSeq
+	t.pendingEra = e.ownEra()
 	t.calledAt = e.now
 	e.emit(effect.Transact{
 		ID: effect.ID{
@@ -360,6 +374,7 @@
 	if ev.Result != effect.Done {
 		return
 	}
+	t.writtenEra = t.pendingEra
 	if !t.registered {
 		t.registered = true
 		e.log("registered", "", field("self", e.Self.String()), field("version", ev.Versions[0]))
--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -50,6 +50,15 @@
 	IsEvent
 }
 
+// Restored means that the table came back from a copy, without its latest writes.
+type Restored struct {
+	IsEvent
+
+	// MinVersion is less than all versions of rows from now on, and greater than
+	// those before. Versions without it were given out again.
+	MinVersion int64
+}
+
 // Transact requests a table transaction. The answer is Transacted.
 type Transact struct {
 	IsAction
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -48,6 +48,14 @@
 	// exceeds limit().
 	settled, reserved, sent, received waxwingwall.Tokens
 
+	// lostGrant is what was drawn, less what was returned, by writes that the table lost
+	// when it came back from a copy.
+	lostGrant waxwingwall.Tokens
+
+	// assumedReturn is the part of lostGrant that was returned by writes without an
+	// answer.
+	assumedReturn waxwingwall.Tokens
+
 	// moves counts the changes of the node's holding other than by use.
 	moves uint64
 
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -245,6 +245,11 @@
 	tableDown bool
 	nextPeer  int
 
+	// frozen is set while nothing may be drawn, since the table came back from a copy.
+	// minVersion is less than all versions of rows since then.
+	frozen     bool
+	minVersion int64
+
 	// donor is the peer that last drew tokens for this node.
 	donor waxwingwall.Incarnation
 
@@ -361,6 +366,8 @@
 		b.rows(ev)
 	case effect.Received:
 		b.received(ev)
+	case effect.Restored:
+		b.restored(ev)
 	}
 	actions := b.actions
 	b.actions = nil
--- a/core/escrow/even_test.go
+++ b/core/escrow/even_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -455,3 +456,68 @@
 		t.Fatalf("holders %v", holders)
 	}
 }
+
+// TestNeverOverspentAfterRestore checks that spent and reserved tokens never exceed what
+// was paid, and that what is left can be spent, if the table comes back from copies that
+// lack its latest writes, beside lost answers and messages, cut and paused nodes.
+func TestNeverOverspentAfterRestore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		paid := waxwingwall.Tokens(rapid.IntRange(2_000, 30_000).Draw(t, "paid"))
+		w := newEvenWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "nodes"), paid)
+		w.loseAnswer = rapid.IntRange(0, 20).Draw(t, "lost answers")
+		w.loseWrite = rapid.IntRange(0, 20).Draw(t, "lost writes")
+		w.loseMessage = rapid.IntRange(0, 20).Draw(t, "lost messages")
+		w.run(500 * time.Millisecond)
+		copied := maps.Clone(w.rows)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1, 2, 3:
+				for range rapid.IntRange(1, 6).Draw(t, "requests") {
+					n.request(shop, waxwingwall.Tokens(rapid.IntRange(1, 1000).Draw(t, "worst")))
+				}
+				for size := waxwingwall.Tokens(512); size > 0; size /= 2 {
+					kind := Granted
+					for kind == Granted {
+						kind = n.request(shop, size)
+					}
+				}
+			case 4:
+				for len(n.running) > 0 && !n.paused {
+					n.finish(0, waxwingwall.Tokens(rapid.Int64Range(0, int64(n.running[0].tokens)).Draw(t, "used")))
+				}
+			case 5:
+				n.cutOff = !n.cutOff
+			case 6:
+				if n.paused {
+					n.resume()
+				} else {
+					n.paused = true
+				}
+			case 7:
+				copied = maps.Clone(w.rows)
+			case 8, 9:
+				w.restore(copied)
+			}
+			for range rapid.IntRange(1, 30).Draw(t, "wait") {
+				w.run(10 * time.Millisecond)
+				w.resume()
+			}
+			if spent := w.spent(shop); spent > paid {
+				t.Fatalf("%d spent of %d paid", spent, paid)
+			}
+		}
+		w.loseAnswer, w.loseWrite, w.loseMessage = 0, 0, 0
+		for _, n := range w.nodes {
+			n.cutOff = false
+			n.resume()
+		}
+		for range 1000 {
+			w.run(10 * time.Millisecond)
+			w.resume()
+		}
+		if left := paid - w.spent(shop); left > 100 && w.nodes[0].serve(shop, left/2) != Granted {
+			t.Fatalf("%d left of %d, but not granted: %+v", left, paid, w.budget(shop))
+		}
+	})
+}
--- a/core/escrow/peer.go
+++ b/core/escrow/peer.go
@@ -182,7 +182,7 @@
 	p.lastRound = m.Round
 	e.quietUntil = b.now.Add(b.pacing.waitTimeout)
 	want, limit := m.Want, b.available(e, from)+p.pending
-	p.drawing = m.Draw && !b.tableDown && !b.draining && e.exists()
+	p.drawing = m.Draw && !b.tableDown && !b.frozen && !b.draining && e.exists()
 	switch {
 	case p.drawing && !e.pool.known:
 		limit = want
@@ -193,7 +193,7 @@
 	p.pending = min(want, limit)
 	p.pendingUntil = b.now.Add(2 * roundTimeout)
 	b.sendPending(e)
-	if p.pending == 0 || b.tableDown {
+	if p.pending == 0 || b.tableDown || b.frozen {
 		p.pending = 0
 		b.pass(e, from, m.Round)
 	}
--- a/core/escrow/plan.go
+++ b/core/escrow/plan.go
@@ -44,6 +44,9 @@
 
 // planEntry returns the change that an entry needs now.
 func (b *Book) planEntry(e *entry) (change, bool) {
+	if b.frozen {
+		return change{}, false
+	}
 	if b.draining || e.idle(b.now) {
 		return b.planReturn(e)
 	}
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -40,9 +40,11 @@
 	// entries are in the order of their budgets.
 	entries []*entry
 
-	// version is the last known version of the row; seq counts the writes.
-	version int64
-	seq     uint64
+	// version is the last known version of the row; seq counts the writes, ackedSeq is
+	// the seq of the last one that is known to be applied.
+	version  int64
+	seq      uint64
+	ackedSeq uint64
 
 	// The call in flight; pendingCall is zero if there is none.
 	pendingCall uint64
@@ -58,6 +60,13 @@
 	// nextEntry is the index of the entry with which the next write begins.
 	nextEntry int
 
+	// grants are the latest changes of grants, in order. restoring is set from the
+	// return of the table from a copy until the row is written anew.
+	// restoreSeq is the seq of the first write that does so, zero before.
+	grants     []grant
+	restoring  bool
+	restoreSeq uint64
+
 	// closing is set while the tombstone is being written, closed permanently
 	// once it is. While noReceive is set no tokens are accepted: the tombstone
 	// may be in force and would not record them.
@@ -117,6 +126,10 @@
 	if b.read(s) {
 		return
 	}
+	if s.restoring {
+		b.writeRestored(i)
+		return
+	}
 	changes := b.plan(s)
 	switch {
 	case len(changes) > 0:
@@ -132,14 +145,22 @@
 	if s.mustRead {
 		keys = append(keys, s.key)
 	}
+	if s.restoring {
+		if !s.mustRead {
+			return false
+		}
+		keys = s.keysToRestore()
+	}
 	for _, e := range s.entries {
-		if b.needsPoolRead(e) {
+		if !s.restoring && b.needsPoolRead(e) {
 			keys = append(keys, BudgetKey(e.row.Budget))
 			e.wait.poolReadCall = b.callCount + 1
 		}
 	}
 	for _, e := range s.entries {
-		keys = append(keys, b.keysToCheck(e)...)
+		if !s.restoring {
+			keys = append(keys, b.keysToCheck(e)...)
+		}
 	}
 	if len(keys) == 0 {
 		return false
@@ -291,6 +312,10 @@
 	s := &b.shards[i]
 	switch ev.Result {
 	case effect.Done:
+		if ev.Versions[0] < b.minVersion {
+			b.lost(s)
+			break
+		}
 		b.done(s, ev.Versions)
 	case effect.Conflict:
 		b.conflict(s)
@@ -307,10 +332,16 @@
 	s.failures = 0
 	s.version = versions[0]
 	s.closed = s.closing
+	s.ackedSeq = s.seq
+	s.restoring = false
+	s.restoreSeq = 0
 	at := 1
 	for _, c := range s.changes {
 		e := c.entry
 		drawn := c.row.Granted - e.row.Granted
+		b.recordGrant(s, e, s.version, drawn+e.lostGrant)
+		e.lostGrant = 0
+		e.assumedReturn = 0
 		if drawn != 0 {
 			e.moves++
 			e.holdUntil = b.now.Add(b.pacing.minDrawInterval + b.jitter(b.pacing.minDrawInterval))
@@ -464,8 +495,19 @@
 			return
 		}
 	}
+	if s.restoring {
+		b.readRestored(s, row.Version, content)
+		return
+	}
+	b.adopt(s, row.Version, content)
+}
+
+// adopt takes the content of a share row that one of this node's writes has set.
+func (b *Book) adopt(s *shard, version int64, content ShareRow) {
+	s.ackedSeq = content.Seq
 	for _, e := range s.entries {
 		if next, ok := content.Find(e.row.Budget); ok {
+			b.recordGrant(s, e, version, next.Granted-e.row.Granted)
 			if next.Granted != e.row.Granted {
 				e.moves++
 			}
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -123,7 +123,7 @@
 		b.resolve(e, OutOfReach, 0, "closing")
 	case !b.now.Before(w.deadline):
 		b.resolve(e, OutOfReach, 0, w.timeoutReason())
-	case b.tableDown || b.pacing.evenShares && b.callSlow(e):
+	case b.tableDown || b.frozen || b.pacing.evenShares && b.callSlow(e):
 		b.askWithoutTable(e)
 	case w.poolRead && e.spare() < w.smallest && e.pool.known && e.spare()+e.pool.row.Pool() < w.smallest:
 		b.pollHolders(e)
--- a/core/escrow/world_test.go
+++ b/core/escrow/world_test.go
@@ -29,6 +29,9 @@
 	// tableHangs leaves calls to the table without an answer.
 	tableHangs bool
 	cut        map[[2]int]bool
+
+	// era counts the copies that the table came back from.
+	era int64
 }
 
 // scheduledCall is a function to be run at a later time.
@@ -253,7 +256,7 @@
 	for _, wr := range a.Writes {
 		row := waxwingwall.Row{
 			Key:     wr.Key,
-			Version: w.rows[wr.Key].Version + 1,
+			Version: w.era<<40 | (w.rows[wr.Key].Version&versionMask + 1),
 			Value:   wr.Value,
 		}
 		w.rows[wr.Key] = row
@@ -262,6 +265,33 @@
 	return done
 }
 
+// restore returns the table to a copy of its rows, whose versions are given out again.
+func (w *world) restore(rows map[string]waxwingwall.Row) {
+	w.era++
+	w.rows = map[string]waxwingwall.Row{}
+	for key, row := range rows {
+		row.Version = w.era<<40 | row.Version&versionMask
+		w.rows[key] = row
+	}
+	for _, n := range w.nodes {
+		n.event(effect.Restored{
+			MinVersion: w.era << 40,
+		})
+	}
+}
+
+// resume lets the nodes draw again once all have written their shares anew.
+func (w *world) resume() {
+	for _, n := range w.nodes {
+		if !n.dead && (n.paused || n.book.Restoring()) {
+			return
+		}
+	}
+	for _, n := range w.nodes {
+		n.book.Resume()
+	}
+}
+
 // event delivers an event to a node, or queues it while the node is paused.
 func (n *testNode) event(ev effect.Event) {
 	if n.dead {
--- a/relay/control.go
+++ b/relay/control.go
@@ -109,6 +109,14 @@
 	})
 }
 
+// reportEra reports a new era of the store to the control goroutine.
+func (r *Relay) reportEra(era platform.Era) {
+	r.postEvent(edge.StoreEra{
+		MinVersion: era.MinRevision,
+		First:      era.First,
+	})
+}
+
 // perform performs actions without blocking.
 func (r *Relay) perform(now time.Time, actions []effect.Action) {
 	for _, a := range actions {
--- a/relay/crashing_test.go
+++ b/relay/crashing_test.go
@@ -24,7 +24,7 @@
 	}
 	req.Host = "a.example"
 	standin.SetHeaders(req.Header, fmt.Sprintf("call-%d", f.calls), "key", 1000, 50)
-	req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s,%x:100", parts, 1<<20+f.calls))
+	standin.SetParts(req.Header, fmt.Sprintf("%s,%x:100", parts, 1<<20+f.calls))
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -158,7 +158,11 @@
 	}
 	r.closers = append(r.closers, r.metrics.close)
 	var cleanup func()
-	r.store, cleanup = platform.New(r.settings.Store, platform.WithPartitions(edge.Partition, edge.Partitions()))
+	r.store, cleanup = platform.New(
+		r.settings.Store,
+		platform.WithPartitions(edge.Partition, edge.Partitions()),
+		platform.WithEraObserver(r.reportEra),
+	)
 	r.closers = append(r.closers, cleanup)
 	r.origins, cleanup = origin.New(origin.WithDialObserver(r.reportDial))
 	r.closers = append(r.closers, cleanup)
