core/escrow: narrow shares later and more steeply

Now shares narrow below two fifths of a budget, with the fourth power. With a quarter left the nodes still hold less than 3 in 100 of the payment (TestLossOfAllNodes).

--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -89,8 +89,8 @@
 	// evenWideAbove is the part of a budget that must remain for these bounds to
 	// apply in full. Below it they shrink with the power evenNarrowing of what
 	// remains.
-	evenWideAbove = 0.5
-	evenNarrowing = 3
+	evenWideAbove = 0.4
+	evenNarrowing = 4
 
 	// evenCutoffPercent is the part of a budget below which nothing is held in
 	// advance, since tokens stranded at that point can't be replaced.
