core/edge, core/sched: clear parts by successes only, try blocked prefixes, end a stop after a restore

Three gaps found on reading. An answer that reports a failure of the request cleared the parts of its prompt, though it may not have run. Blocked prefixes of core/sched were never tried again. A graceful stop during the restore of budgets waited for a row that a stopping router no longer writes.

--- a/core/edge/crash.go
+++ b/core/edge/crash.go
@@ -164,8 +164,8 @@
 	return texts
 }
 
-// clearParts records that a request got a complete answer, so that none of its parts
-// crashes endpoints.
+// clearParts records that a request got a complete answer with success, so that none of
+// its parts crashes endpoints.
 func (e *Edge) clearParts(r *request) {
 	if e.crashes.parts.Len() == 0 {
 		return
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -376,7 +376,9 @@
 // bill as well.
 func (e *Edge) finish(r *request, target *endpoint, ev AttemptEnded) {
 	r.completed = true
-	e.clearParts(r)
+	if ev.Status < http.StatusMultipleChoices {
+		e.clearParts(r)
+	}
 	reserved := r.reserved
 	used, _ := e.charge(r)
 	e.log("served", r.call.ID,
--- a/core/edge/restore.go
+++ b/core/edge/restore.go
@@ -60,7 +60,13 @@
 		return
 	}
 	late := e.now.Sub(t.restoredAt) >= restoreTimeout
-	if e.book.Restoring() || !t.registered || t.writtenEra != t.era || !late && !e.peersRestored() {
+	written := t.registered && t.writtenEra == t.era
+	switch {
+	case e.book.Restoring():
+		return
+	case e.book.Draining():
+		// Nothing is drawn any more, and what is left has to be returned.
+	case !written || !late && !e.peersRestored():
 		return
 	}
 	t.restoring = false
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -208,7 +208,7 @@
 
 // Trial reports whether a request with a blocked part should be tried now. The time
 // since the last crash must be DefaultTrialInterval, and twice as long for each crash
-// above the limit. A trial counts as a crash until it is answered.
+// above the limit; no other one is tried until as much time has passed again.
 func (t *Parts) Trial(now time.Time, part uint64) bool {
 	s := t.suspects[part]
 	if s == nil || now.Sub(s.crashedAt) < DefaultTrialInterval<<min(max(s.open()-t.limit(), 0), 10) {
--- a/core/sched/parts.go
+++ b/core/sched/parts.go
@@ -1,8 +1,10 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
+	"waxwingwall"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/quarantine"
 )
@@ -20,10 +22,23 @@
 		return true
 	}
 	part, blocked := s.parts.Blocked(sharedPrefixes(w))
-	if blocked {
-		s.parts.Refused(now, part)
+	if !blocked || s.triesPart(now, part) && s.parts.Trial(now, part) {
+		return false
 	}
-	return blocked
+	s.parts.Refused(now, part)
+	return true
+}
+
+// triesPart reports whether this router tries a blocked prefix: the first live one in an
+// order that all routers agree on.
+func (s *Scheduler) triesPart(now time.Time, part uint64) bool {
+	order := func(vm waxwingwall.VM) uint64 {
+		return rendezvousHash(part, waxwingwall.Endpoint(vm))
+	}
+	own := order(s.self.VM)
+	return !slices.ContainsFunc(s.peers, func(p *peer) bool {
+		return p.live(now, s.intervalFactor()) && order(p.inc.VM) < own
+	})
 }
 
 // suspectParts records a crash under the prefixes of a job that had no output yet, and
