core/quarantine: count crashes that follow each other at once as one

A model shows how sound requests can be blocked: when many engines go at the same time, each crash makes the parts that all prompts begin with suspects, four at once, and none of the requests sent since is let through to clear them.

Why it works: crashes within 500 ms of another one don't count for a part. One part that crashes engines still reaches four counts in 1.5 s, and the operators allow 3 s after the fifth crash.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -17,6 +17,11 @@
 	// until one request with it is tried again.
 	DefaultTrialInterval = time.Minute
 
+	// sameCauseWindow is the time after a crash within which others count as one with
+	// it: many endpoints that go at once, as with a rack, have another cause, and end
+	// requests with the parts that all prompts begin with.
+	sameCauseWindow = 500 * time.Millisecond
+
 	// maxSuspects limits the number of suspects of Parts.
 	maxSuspects = 4096
 
@@ -49,6 +54,10 @@
 	// are in order.
 	Crashes, Cleared []Crash
 
+	// Count is the number of crashes that are not cleared; those that follow another
+	// one at once don't count.
+	Count int
+
 	// Idle is the time since the last crash under the part, or the last request with
 	// it that was refused.
 	Idle time.Duration
@@ -58,7 +67,8 @@
 //
 // A crash ends all runs of an endpoint. Those whose answers had begun did not cause it;
 // the parts of the others are its suspects, but for the last part of each prompt, which
-// no other request has. A part is blocked once it is a suspect of Limit crashes. Three
+// no other request has. A part is blocked once it is a suspect of Limit crashes, where
+// those that follow another one at once don't count. Three
 // rules keep innocent parts from being blocked with the one that causes the crashes:
 //
 //   - A complete answer clears all parts of its request, if it was sent after the first
@@ -87,11 +97,40 @@
 	part             uint64
 	crashes, cleared []Crash
 
+	// counted is the number of open crashes without those that follow another one within
+	// sameCauseWindow; countedAt is the time of the last that counts.
+	counted   int
+	countedAt time.Time
+
 	// since is when the part became a suspect, crashedAt the time of its last crash and
 	// activeAt that of its last crash or refusal.
 	since, crashedAt, activeAt time.Time
 }
 
+// add adds a crash that is not known yet.
+func (s *suspect) add(now time.Time, c Crash) {
+	if s.open() == 0 {
+		s.since = now
+		s.counted = 0
+	}
+	s.countCrash(now)
+	s.crashes = insert(s.crashes, c)
+}
+
+// countCrash counts a crash unless it follows another one within sameCauseWindow.
+func (s *suspect) countCrash(now time.Time) {
+	if s.counted == 0 || now.Sub(s.countedAt) >= sameCauseWindow {
+		s.counted++
+		s.countedAt = now
+	}
+	s.crashedAt = now
+}
+
+// count returns the number of open crashes that count.
+func (s *suspect) count() int {
+	return min(s.counted, s.open())
+}
+
 // open returns the crashes of which the part is a suspect.
 func (s *suspect) open() int {
 	return len(s.crashes) - len(s.cleared)
@@ -118,15 +157,15 @@
 	news := false
 	for _, part := range parts {
 		s := t.suspect(now, part)
-		if contains(s.crashes, crash) || !s.makeRoom() {
+		if contains(s.crashes, crash) {
 			continue
 		}
-		if s.open() == 0 {
-			s.since = now
-		}
-		s.crashes = insert(s.crashes, crash)
-		s.crashedAt = now
 		s.activeAt = now
+		if !s.makeRoom() {
+			s.countCrash(now)
+			continue
+		}
+		s.add(now, crash)
 		news = true
 	}
 	return news
@@ -150,11 +189,9 @@
 // Merge applies what another router knows.
 func (t *Parts) Merge(now time.Time, other Suspect) {
 	s := t.suspect(now, other.Part)
-	wasOpen := s.open() > 0
 	for _, c := range other.Crashes {
 		if !contains(s.crashes, c) && s.makeRoom() {
-			s.crashes = insert(s.crashes, c)
-			s.crashedAt = now
+			s.add(now, c)
 		}
 	}
 	for _, c := range other.Cleared {
@@ -162,9 +199,7 @@
 			s.cleared = insert(s.cleared, c)
 		}
 	}
-	if !wasOpen {
-		s.since = now
-	}
+	s.counted = max(s.counted, other.Count)
 	if active := now.Add(-other.Idle); active.After(s.activeAt) {
 		s.activeAt = active
 	}
@@ -177,7 +212,7 @@
 		return 0, false
 	}
 	for _, part := range parts {
-		if s := t.suspects[part]; s != nil && s.open() >= t.limit() && !t.hasAlibi(s, parts) {
+		if s := t.suspects[part]; s != nil && s.count() >= t.limit() && !t.hasAlibi(s, parts) {
 			return part, true
 		}
 	}
@@ -211,7 +246,7 @@
 // above the limit; no other one is tried until as much time has passed again.
 func (t *Parts) Trial(now time.Time, part uint64) bool {
 	s := t.suspects[part]
-	if s == nil || now.Sub(s.crashedAt) < DefaultTrialInterval<<min(max(s.open()-t.limit(), 0), 10) {
+	if s == nil || now.Sub(s.crashedAt) < DefaultTrialInterval<<min(max(s.count()-t.limit(), 0), 10) {
 		return false
 	}
 	s.crashedAt = now
@@ -221,7 +256,7 @@
 // Crashes returns the number of crashes of which a part is a suspect.
 func (t *Parts) Crashes(part uint64) int {
 	if s := t.suspects[part]; s != nil {
-		return s.open()
+		return s.count()
 	}
 	return 0
 }
@@ -230,7 +265,7 @@
 func (t *Parts) List(now time.Time) []Suspect {
 	var all []Suspect
 	for _, s := range t.suspects {
-		if s.open() >= t.limit() {
+		if s.count() >= t.limit() {
 			all = append(all, s.export(now))
 		}
 	}
@@ -307,6 +342,7 @@
 		Part:    s.part,
 		Crashes: slices.Clone(s.crashes),
 		Cleared: slices.Clone(s.cleared),
+		Count:   s.count(),
 		Idle:    now.Sub(s.activeAt),
 	}
 }
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -60,11 +60,13 @@
 	var table Parts
 	now := partsStart
 	for n := range DefaultPartLimit {
+		now = now.Add(time.Second)
 		table.Record(now, crashN(n), []uint64{common, crashing})
 	}
 	if _, blocked := table.Blocked([]uint64{crashing}); blocked {
 		t.Fatal("blocked, though the other part may be the cause")
 	}
+	now = now.Add(time.Second)
 	table.Record(now, crashN(100), []uint64{crashing})
 	if _, blocked := table.Blocked([]uint64{crashing}); !blocked {
 		t.Fatal("not blocked")
@@ -92,6 +94,7 @@
 	var table, peer Parts
 	now := partsStart
 	for n := range DefaultPartLimit {
+		now = now.Add(time.Second)
 		table.Record(now, crashN(n), []uint64{crashing})
 	}
 	var trials []time.Duration
