core/sched: count repeated crashes of one engine under a prefix

Requests with the same prefix go to the same engine by preference, which is back under the same name after each crash, and counted once: such a prefix was never blocked. A crash is now named by its time as well; reports of one crash from several routers follow each other at once, and count as one.

--- a/core/sched/parts.go
+++ b/core/sched/parts.go
@@ -42,14 +42,18 @@
 }
 
 // suspectParts records a crash under the prefixes of a job that had no output yet, and
-// returns what is news for the peers. An endpoint that crashes repeatedly counts once,
-// since its instances can't be told apart here.
+// returns what is news for the peers. The instances of an endpoint can't be told apart
+// here, so each router names a crash by its time; reports of one crash follow each other
+// at once and count as one.
 func (s *Scheduler) suspectParts(now time.Time, j *job, e *endpoint) []quarantine.Suspect {
 	if j.hasOutput {
 		return nil
 	}
 	shared := sharedPrefixes(j.work)
-	if !s.parts.Record(now, quarantine.Crash{Endpoint: e.spec.Name}, shared) {
+	if !s.parts.Record(now, quarantine.Crash{
+		Endpoint: e.spec.Name,
+		Born:     now.UnixMilli(),
+	}, shared) {
 		return nil
 	}
 	return s.parts.Get(now, shared)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -298,7 +298,7 @@
 
 	// Requests that are unlike but for one prefix of their prompts must not crash
 	// engine after engine.
-	It("blocks a prefix under which four engines crashed, at peers as well, and none that others share", func() {
+	It("blocks a prefix under which engines crashed four times, at peers as well, and none that others share", func() {
 		poison := func(w *sched.Work) { w.Prefix = []uint64{1, 0xbad, 1000 + w.Fingerprint} }
 		sound := func(w *sched.Work) { w.Prefix = []uint64{1, 2000 + w.Fingerprint} }
 		a := waxwingwall.Incarnation{VM: "a", Boot: 1}
