core/edge, relay: log why no attempt followed a failed one, and requests that are overdue

The log of a cut answer did not say what ended it: silence, a failure, a change of the configuration or the deadline. "cut" and "refused" now name the result of the last attempt, how long its endpoint had sent nothing, why no other attempt followed, and the version of the configuration at the arrival and now. "request_overdue" shows a request that was left without an action, "drain_ends" those that a stop left. No decision changes.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -14,6 +14,7 @@
 		id:      ev.Request,
 		call:    ev.Call,
 		arrived: e.now,
+		version: e.config.version,
 		tried:   map[waxwingwall.Endpoint]bool{},
 	}
 	e.requests[r.id] = r
--- a/core/edge/drain.go
+++ b/core/edge/drain.go
@@ -56,5 +56,9 @@
 		e.nodes.registered = false
 		e.deleteNode(e.Self)
 	}
+	if !e.drainLogged {
+		e.drainLogged = true
+		e.log("drain_ends", "", field("requests", len(e.requests)), field("after", e.now.Sub(e.drainStart)))
+	}
 	e.emit(Drained{})
 }
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -141,8 +141,10 @@
 	// limiterStale is set if the routers that the limiter knows are out of date.
 	limiterStale bool
 
-	// drainStart is when a graceful stop began; zero before that.
-	drainStart time.Time
+	// drainStart is when a graceful stop began; zero before that. drainLogged is set once
+	// the log has an entry of its end.
+	drainStart  time.Time
+	drainLogged bool
 
 	callSeq uint64
 	out     []effect.Action
@@ -275,6 +277,7 @@
 	e.crashes.expire(e.now)
 	e.notices.Expire(e.now)
 	e.removeMissing()
+	e.logOverdue()
 	e.drainStep()
 }
 
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -105,6 +105,10 @@
 	// completely written to it; zero if it was not.
 	ConnectedAt, SentAt time.Time
 
+	// Idle is the time since the endpoint last sent anything, or since the request was
+	// sent to it; zero if it was not.
+	Idle time.Duration
+
 	// Err is the cause of a failure, for the log.
 	Err string
 }
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -34,6 +34,10 @@
 	// maxDeclined limits the retries of a request that endpoints declined. After an
 	// attempt at an unreachable endpoint, the limit is twice as high.
 	maxDeclined = 3
+
+	// overdueTime is the time after its deadline from which a request that has not ended
+	// is logged.
+	overdueTime = 500 * time.Millisecond
 )
 
 // request is a request from its arrival to its end.
@@ -45,8 +49,9 @@
 	account *waxwingwall.ClientAccount
 	rank    waxwingwall.Rank
 
-	// arrived is the time of arrival.
+	// arrived is the time of arrival, version that of the configuration then.
 	arrived  time.Time
+	version  int64
 	deadline time.Time
 
 	// budget is set if tokens are charged; reserved is the number of tokens
@@ -94,6 +99,13 @@
 
 	// completed is set once the caller has the whole answer.
 	completed bool
+
+	// lastAttempt is the result of the last attempt and noRetry why no other followed, for
+	// the log. overdueLogged is set once the log has an entry of a request that has not
+	// ended in time.
+	lastAttempt   AttemptEnded
+	noRetry       string
+	overdueLogged bool
 }
 
 // defaultTimeout applies to a request for which no timeout is set.
@@ -241,6 +253,7 @@
 	target := r.endpoint
 	e.addLoad(r, -1)
 	r.endpoint = nil
+	r.lastAttempt = ev
 	r.eventsBefore, r.events = r.events, ev.Events
 	if ev.Offset != "" {
 		r.offset = ev.Offset
@@ -255,9 +268,10 @@
 		field("attempt", ev.Attempt), field("endpoint", target.replica.Endpoint), field("result", ev.Result.String()),
 		field("status", ev.Status), field("committed", ev.Committed), field("events", ev.Events),
 		field("connected", since(r.sentAt, ev.ConnectedAt)), field("sent", since(r.sentAt, ev.SentAt)),
-		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("cause", ev.Err))
+		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("idle", ev.Idle), field("cause", ev.Err))
 	switch {
 	case ev.Committed && !(r.route.Kind == waxwingwall.Streaming && r.route.Resumable):
+		r.noRetry = "not_resumable"
 		e.abort(r)
 	case e.takeRetry(r, ev):
 		e.dispatch(r)
@@ -324,31 +338,52 @@
 // takeRetry reports whether a request may be sent again, and takes the retry
 // from the retry budget.
 func (e *Edge) takeRetry(r *request, ev AttemptEnded) bool {
-	remaining := r.deadline.Sub(e.now)
-	if remaining < minAttemptTime || e.quarantined(r) {
-		return false
+	r.noRetry = e.retryObstacle(r, ev)
+	return r.noRetry == ""
+}
+
+// retryObstacle returns why a request may not be sent again; empty if it may, and then a
+// retry is taken from the retry budget.
+func (e *Edge) retryObstacle(r *request, ev AttemptEnded) string {
+	switch {
+	case r.deadline.Sub(e.now) < minAttemptTime:
+		return "deadline"
+	case e.quarantined(r):
+		return "quarantined"
 	}
 	switch ev.Result {
 	case Unreachable, Expired:
 		// Nothing was sent, so this does not count against the retry budget.
 		r.declined++
-		return r.declined <= 2*maxDeclined && (!r.mayHaveRun() || r.route.Idempotent())
+		switch {
+		case r.declined > 2*maxDeclined:
+			return "attempts_used"
+		case r.mayHaveRun() && !r.route.Idempotent():
+			return "not_idempotent"
+		}
+		return ""
 	case Declined:
-		if r.declined > maxDeclined || r.mayHaveRun() && !r.route.Idempotent() {
-			return false
+		switch {
+		case r.declined > maxDeclined:
+			return "attempts_used"
+		case r.mayHaveRun() && !r.route.Idempotent():
+			return "not_idempotent"
 		}
 	case Failed, Broken, IdleTimeout:
-		if !r.route.Idempotent() || r.runs >= r.route.Attempts {
-			return false
+		switch {
+		case !r.route.Idempotent():
+			return "not_idempotent"
+		case r.runs >= r.route.Attempts:
+			return "attempts_used"
 		}
 	default:
-		return false
+		return "deadline"
 	}
 	if !e.retryBudget(r.service).take(e.now) {
 		e.log("retry_budget_spent", r.call.ID, field("service", r.service))
-		return false
+		return "retry_budget_spent"
 	}
-	return true
+	return ""
 }
 
 // fail ends a request without a complete answer.
@@ -380,10 +415,11 @@
 // refuse ends a request of which the caller has received nothing.
 func (e *Edge) refuse(r *request, p *waxwingwall.Problem) {
 	e.settle(r)
-	e.log("refused", r.call.ID,
+	e.log("refused", r.call.ID, append([]Field{
 		field("status", p.Status), field("code", p.Code), field("outcome", string(p.Outcome)),
 		field("retry_after", p.RetryAfter), field("after", e.now.Sub(r.arrived)),
-		field("version", e.config.version))
+		field("version", e.config.version),
+	}, r.endFields()...)...)
 	e.emit(Refuse{
 		Request: r.id,
 		Rank:    r.rank,
@@ -395,13 +431,40 @@
 // abort ends a request whose answer was interrupted.
 func (e *Edge) abort(r *request) {
 	e.settle(r)
-	e.log("cut", r.call.ID, field("events", r.events), field("after", e.now.Sub(r.arrived)))
+	e.log("cut", r.call.ID, append([]Field{
+		field("events", r.events), field("after", e.now.Sub(r.arrived)), field("version", e.config.version),
+	}, r.endFields()...)...)
 	e.emit(Abort{
 		Request: r.id,
 	})
 	e.removeRequest(r)
 }
 
+// endFields returns what explains the end of a request that was sent to an endpoint; nil
+// for others.
+func (r *request) endFields() []Field {
+	if r.attempt == 0 {
+		return nil
+	}
+	return []Field{
+		field("arrived_version", r.version), field("attempt", r.attempt), field("result", r.lastAttempt.Result.String()),
+		field("idle", r.lastAttempt.Idle), field("no_retry", r.noRetry),
+	}
+}
+
+// logOverdue logs the requests that have not ended although their deadline has passed.
+func (e *Edge) logOverdue() {
+	for _, r := range e.requests {
+		if r.overdueLogged || r.deadline.IsZero() || e.now.Sub(r.deadline) < overdueTime {
+			continue
+		}
+		r.overdueLogged = true
+		e.log("request_overdue", r.call.ID,
+			field("after", e.now.Sub(r.arrived)), field("arrived_version", r.version), field("version", e.config.version),
+			field("attempt", r.attempt), field("in_flight", r.endpoint != nil), field("waits_for_budget", r.waiting), field("waits_for_permit", r.ask != 0))
+	}
+}
+
 // finish ends a request whose answer the caller has received. Since most
 // requests end this way, a single log entry covers the last attempt and the
 // bill as well.
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -125,6 +125,9 @@
 
 	// Sent means that the request was completely written to the connection.
 	Sent
+
+	// Received means that a part of the answer has arrived. It is traced for each part.
+	Received
 )
 
 func (r Request) trace(s Stage) {
@@ -200,6 +203,7 @@
 	written     chan error
 	stop        func() bool
 	idleTimeout time.Duration
+	trace       func(Stage)
 	complete    bool
 }
 
@@ -508,6 +512,8 @@
 			a.Status = resp.StatusCode
 			a.Header = resp.Header
 			a.Length = resp.ContentLength
+			a.trace = r.trace
+			a.trace(Received)
 			return nil
 		}
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -543,6 +549,9 @@
 		}
 	}
 	n, err := a.resp.Body.Read(b)
+	if n > 0 {
+		a.trace(Received)
+	}
 	if errors.Is(err, io.EOF) {
 		a.complete = true
 		return n, io.EOF
--- a/relay/log.go
+++ b/relay/log.go
@@ -18,6 +18,7 @@
 var urgentEvents = map[string]bool{
 	"refused":            true,
 	"cut":                true,
+	"request_overdue":    true,
 	"budget_short":       true,
 	"no_endpoint":        true,
 	"retry_budget_spent": true,
--- a/relay/request.go
+++ b/relay/request.go
@@ -224,7 +224,7 @@
 	outcome.Committed = p.committed
 	outcome.Events = p.events.Count
 	outcome.Offset = p.events.LastID
-	outcome.ConnectedAt, outcome.SentAt = times.get()
+	outcome.ConnectedAt, outcome.SentAt, outcome.Idle = times.get(time.Now())
 	p.relay.metrics.attemptEnded(d.Params.Endpoint, outcome.Result)
 	p.relay.postEvent(outcome)
 }
@@ -232,8 +232,8 @@
 // attemptTimes are the times of the stages of an attempt. It is safe for concurrent
 // use.
 type attemptTimes struct {
-	mu              sync.Mutex
-	connected, sent time.Time
+	mu                        sync.Mutex
+	connected, sent, received time.Time
 }
 
 func (t *attemptTimes) record(s origin.Stage) {
@@ -244,13 +244,23 @@
 		t.connected = time.Now()
 	case origin.Sent:
 		t.sent = time.Now()
+	case origin.Received:
+		t.received = time.Now()
 	}
 }
 
-func (t *attemptTimes) get() (connected, sent time.Time) {
+// get returns the times, and the time from the last progress until now.
+func (t *attemptTimes) get(now time.Time) (connected, sent time.Time, idle time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.connected, t.sent
+	last := t.sent
+	if t.received.After(last) {
+		last = t.received
+	}
+	if !last.IsZero() {
+		idle = now.Sub(last)
+	}
+	return t.connected, t.sent, idle
 }
 
 // exchange sends the request to an endpoint and forwards the answer.
