--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -353,3 +353,36 @@
 		}
 	})
 }
+
+// TestPausedBody guards against an answer that breaks off because the rest of its body
+// comes later than the limit for its header.
+func TestPausedBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nfirst")
+		time.Sleep(400 * time.Millisecond)
+		_, _ = io.WriteString(c, " end")
+	}()
+	e := &endpoint{
+		addr: l.Addr().(*net.TCPAddr).AddrPort(),
+	}
+	p, stop := New()
+	defer stop()
+	r := e.request("a")
+	r.HeaderTimeout = 100 * time.Millisecond
+	if body, err := readBody(p, r); body != "first end" || err != nil {
+		t.Fatalf("%q %v", body, err)
+	}
+}
