relay, core/edge: tests of endpoints that are silent for a second, failing

Streams and plain answers end as cut or as 504 while their endpoints, which are sound, send nothing for 1.3 s.

--- /dev/null
+++ b/relay/silence_test.go
@@ -0,0 +1,194 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"waxwingwall/platform/standin"
+)
+
+const (
+	// soundSilence is how long endpoints of these tests send nothing before they go on.
+	soundSilence = 1300 * time.Millisecond
+
+	// eventDelay is the time between two events.
+	eventDelay = 150 * time.Millisecond
+)
+
+// callAll sends n requests of a route, evenly over a time, and calls at after half of it.
+// It returns the answers.
+func (f *fleet) callAll(route string, n int, over time.Duration, at func()) []answer {
+	answers := make([]answer, n)
+	prompt, output := 0, 0
+	if route == "advice" || route == "draft" {
+		prompt, output = 1_000, 50
+	}
+	var wg sync.WaitGroup
+	for i := range n {
+		if i == n/2 {
+			at()
+		}
+		wg.Go(func() {
+			answers[i] = f.callAs(f.relays[i%len(f.relays)], fmt.Sprintf("%s-%d", route, i), "key", "/"+route+"/", "", prompt, output)
+		})
+		time.Sleep(over / time.Duration(n))
+	}
+	wg.Wait()
+	return answers
+}
+
+// checkWhole checks that all answers are whole.
+func (f *fleet) checkWhole(answers []answer, whole func(answer) bool) {
+	f.t.Helper()
+	bad := map[string]int{}
+	for _, a := range answers {
+		switch {
+		case a.status != http.StatusOK:
+			bad[fmt.Sprintf("status %d", a.status)]++
+		case a.err != nil || !whole(a):
+			bad["cut"]++
+		}
+	}
+	if len(bad) > 0 {
+		f.t.Errorf("of %d answers not whole: %v", len(answers), bad)
+	}
+}
+
+func wholeStream(a answer) bool {
+	return a.body == streamText(6)
+}
+
+func wholeAnswer(a answer) bool {
+	return strings.HasPrefix(a.body, "done by ")
+}
+
+// slowEvents spreads the events of the engines' streams over time.
+func (f *fleet) slowEvents() {
+	for _, e := range f.engines {
+		e.Delay = eventDelay
+	}
+}
+
+// TestSilenceInsideStreams guards against answers that are cut, or end as an error,
+// because all endpoints send nothing for a second and then go on.
+func TestSilenceInsideStreams(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	f.slowEvents()
+	answers := f.callAll("advice", 120, 500*time.Millisecond, func() {
+		for _, e := range f.engines {
+			e.Silence(soundSilence)
+		}
+	})
+	f.checkWhole(answers, wholeStream)
+}
+
+// TestSilenceOfOneEndpoint guards against answers that are cut because the streams of one
+// silent endpoint are more than the retries that are left.
+func TestSilenceOfOneEndpoint(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	f.slowEvents()
+	answers := f.callAll("advice", 150, 500*time.Millisecond, func() {
+		f.engines[0].Silence(soundSilence)
+	})
+	f.checkWhole(answers, wholeStream)
+}
+
+// TestSilenceBeforeAnswers guards against requests that end as an error because all
+// endpoints begin their answers a second late.
+func TestSilenceBeforeAnswers(t *testing.T) {
+	for _, route := range []string{"advice", "quote"} {
+		t.Run(route, func(t *testing.T) {
+			f := newFleet(t, 1, testAccount)
+			for _, e := range append(f.engines, f.ledgers...) {
+				e.Silence(soundSilence)
+			}
+			answers := f.callAll(route, 120, 100*time.Millisecond, func() {})
+			whole := wholeStream
+			if route == "quote" {
+				whole = wholeAnswer
+			}
+			f.checkWhole(answers, whole)
+		})
+	}
+}
+
+// TestSilenceBesideConfigurationChange guards against answers that are cut because their
+// endpoints are silent while a new configuration comes into force.
+func TestSilenceBesideConfigurationChange(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	f.slowEvents()
+	answers := f.callAll("advice", 120, 500*time.Millisecond, func() {
+		f.store.Put("op", "config", standin.Configuration(2, testAccount))
+		for _, e := range f.engines {
+			e.Silence(soundSilence)
+		}
+	})
+	f.checkWhole(answers, wholeStream)
+}
+
+// TestDeadEndpointInsideStreams: a stream whose endpoint sends nothing more, and whose
+// connection stays open, goes on at the other endpoint.
+func TestDeadEndpointInsideStreams(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	f.slowEvents()
+	answers := f.callAll("advice", 8, 100*time.Millisecond, func() {
+		f.engines[0].Silence(20 * time.Second)
+	})
+	f.checkWhole(answers, wholeStream)
+}
+
+// TestConfigurationChangeUnderWay guards against answers that are cut because a new
+// configuration drops their route and service, or shortens their times.
+func TestConfigurationChangeUnderWay(t *testing.T) {
+	for name, change := range map[string]func(map[string]any){
+		"no routes":      func(c map[string]any) { c["Routes"] = []any{} },
+		"no services":    func(c map[string]any) { c["Services"] = []any{} },
+		"no accounts":    func(c map[string]any) { c["Tenants"] = []any{} },
+		"shorter routes": shortenRoutes,
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1, testAccount)
+			f.slowEvents()
+			var c map[string]any
+			if err := json.Unmarshal(standin.Configuration(2, testAccount), &c); err != nil {
+				t.Fatal(err)
+			}
+			change(c)
+			text, err := json.Marshal(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			answers := f.callAll("advice", 40, 200*time.Millisecond, func() {})
+			f.checkWhole(answers, wholeStream)
+			done := make(chan answer, 40)
+			for i := range cap(done) {
+				go func() {
+					done <- f.callAs(f.relays[0], fmt.Sprintf("running-%d", i), "key", "/advice/", "", 1_000, 50)
+				}()
+			}
+			f.waitUntil("streams are running", func() bool { return len(f.runs("running-0")) > 0 && len(f.runs("running-39")) > 0 })
+			f.store.Put("op", "config", text)
+			var running []answer
+			for range cap(done) {
+				running = append(running, <-done)
+			}
+			f.checkWhole(running, wholeStream)
+		})
+	}
+}
+
+// shortenRoutes shortens the times of all routes.
+func shortenRoutes(c map[string]any) {
+	for _, r := range c["Routes"].([]any) {
+		route := r.(map[string]any)
+		route["TimeoutMs"] = 300
+		route["SloMs"] = 20
+		route["ItlTargetMs"] = 20
+		route["MaxAttempts"] = 1
+	}
+}
