io/origin: the limit for the header ends with the header

Callers saw answers of idempotent requests end as 504 although the endpoint had begun to answer: the read deadline that limits the wait for the header stayed in force for a body without a limit of its own, so a body that came later than that counted as silence. TestPausedBody failed before ("endpoint idle timeout" after 100 ms). The deadline is now set anew once the header has arrived.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -514,7 +514,7 @@
 			a.Length = resp.ContentLength
 			a.trace = r.trace
 			a.trace(Received)
-			return nil
+			return trace.Wrap(a.conn.source.wait(a.idleTimeout))
 		}
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return trace.Errorf("answer to another request")
