core/edge, relay, io/origin: leave a silent attempt only once another is certain

Callers saw streams cut, and requests end as 504, while the endpoint that ran them was sound and sent nothing for a second.

Cause: an attempt of a request that may be repeated ended with its limit for silence, and only then the router looked whether another attempt may follow. All streams of an endpoint fall silent together, so the retry budget is spent just then, and the rest was cut. The class: something is given up before what replaces it is certain.

A stalled attempt is now asked about while its reader waits. It is left once a retry is taken and an endpoint chosen that is listed, free, not in backoff and seldom fails; otherwise it goes on until its answer, its connection or its deadline ends it. The wait over a busy link, which was asked about before, is decided in the same place.

In TestKeepWaiting the answer is now how much longer to wait; it checks the idle time too.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -19,6 +19,9 @@
 //	Deliver   the buffered answer of the last attempt is sent to the caller
 //	Abort     the answer was interrupted and can't be resumed
 //
+// An attempt whose endpoint is silent for long causes AttemptStalled, which is answered
+// by KeepWaiting or, once the request is certain to go on elsewhere, by LeaveAttempt.
+//
 // CallerLeft ends a request from the caller's side. A request of which an
 // endpoint may have run a part is never refused as not run, and runs again only
 // if it is idempotent.
@@ -234,6 +237,8 @@
 		e.handleHeadReceived(ev)
 	case AnswerStarted:
 		e.handleAnswerStarted(ev)
+	case AttemptStalled:
+		e.handleAttemptStalled(ev)
 	case AttemptEnded:
 		e.handleAttemptEnded(ev)
 	case CallerLeft:
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -54,6 +54,9 @@
 	failures     int
 	backoffUntil time.Time
 
+	// heardAt is when an answer of the endpoint last began or ended; zero if none has.
+	heardAt time.Time
+
 	// failureRate is the decaying fraction of failed attempts; decayedAt is the
 	// time of the last decay of failureRate and slowdown.
 	failureRate float64
@@ -335,6 +338,13 @@
 	r.backoffUntil = now.Add(backoff)
 }
 
+// avoid puts the endpoint in backoff without counting a failure.
+func (r *endpoint) avoid(until time.Time) {
+	if until.After(r.backoffUntil) {
+		r.backoffUntil = until
+	}
+}
+
 // recordReachable records that the endpoint responded.
 func (r *endpoint) recordReachable() {
 	r.failures = 0
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -41,7 +41,8 @@
 	// malformed. The endpoint may have run the request.
 	Broken
 
-	// IdleTimeout means that the endpoint sent nothing for too long.
+	// IdleTimeout means that the endpoint sent nothing for too long and the attempt was
+	// left.
 	IdleTimeout
 
 	// Expired means that Dispatch.SendBy passed before there was a connection; nothing
@@ -212,8 +213,8 @@
 	// without the router's knowledge; zero if there is no limit.
 	SendBy time.Time
 
-	// FirstTimeout limits the wait for the start of the answer, IdleTimeout the
-	// time between its parts; zero means no limit except Deadline.
+	// FirstTimeout is the wait for the start of the answer, IdleTimeout that between its
+	// parts, after which the attempt has stalled (AttemptStalled); zero means never.
 	FirstTimeout, IdleTimeout time.Duration
 
 	// Limited is set if the endpoint named a limit earlier.
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -23,12 +23,12 @@
 	minAttemptTime = 50 * time.Millisecond
 
 	// firstTimeoutObjectives is the multiple of the route's Objective, in addition
-	// to the estimated time, after which an idempotent request without an answer is
-	// retried elsewhere.
+	// to the estimated time, after which an idempotent request without an answer may
+	// be retried elsewhere.
 	firstTimeoutObjectives = 2
 
 	// idleTimeoutPauses is the multiple of the route's Pause after which a
-	// resumable stream counts as idle.
+	// resumable stream counts as stalled.
 	idleTimeoutPauses = 2
 
 	// maxDeclined limits the retries of a request that endpoints declined. After an
@@ -78,6 +78,13 @@
 	answerStarted  bool
 	firstLatency   time.Duration
 
+	// firstTimeout is the time from sentAt after which the attempt may be left if the
+	// answer has not begun. stalledAt is the last attempt that has stalled; next is the
+	// endpoint for which the attempt in flight is left, and for which a retry is taken.
+	firstTimeout time.Duration
+	stalledAt    int
+	next         *endpoint
+
 	// ask is the ID of the pending ask for a permit; zero if there is none. denied is set
 	// while the request is dispatched after a denial, retryAfter is the delay before the
 	// caller may retry.
@@ -193,10 +200,12 @@
 	}
 	if d.BufferFailure {
 		d.FirstTimeout = min(firstTimeoutObjectives*r.route.Objective+time.Duration(c.cost)*time.Millisecond, remaining)
+		d.IdleTimeout = d.FirstTimeout
 		if d.Stream && r.route.Pause > 0 {
 			d.IdleTimeout = idleTimeoutPauses * r.route.Pause
 		}
 	}
+	r.firstTimeout = d.FirstTimeout
 	e.log("dispatched", r.call.ID,
 		field("route", r.route.Name), field("version", e.config.version), field("rank", r.rank),
 		field("attempt", r.attempt), field("endpoint", d.Params.Endpoint), field("among", c.candidates),
@@ -239,6 +248,7 @@
 	r.answerStarted = true
 	r.firstLatency = e.now.Sub(r.sentAt)
 	e.link.clear.add(e.now, r.firstLatency)
+	r.endpoint.heardAt = e.now
 	r.endpoint.recordReachable()
 	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.endpoint.slowdown)
 	e.gossip.loadChanged = true
@@ -254,6 +264,11 @@
 	e.addLoad(r, -1)
 	r.endpoint = nil
 	r.lastAttempt = ev
+	next := r.next
+	if ev.Result != IdleTimeout {
+		e.releaseNext(r)
+	}
+	r.next = nil
 	r.eventsBefore, r.events = r.events, ev.Events
 	if ev.Offset != "" {
 		r.offset = ev.Offset
@@ -270,6 +285,8 @@
 		field("connected", since(r.sentAt, ev.ConnectedAt)), field("sent", since(r.sentAt, ev.SentAt)),
 		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("idle", ev.Idle), field("cause", ev.Err))
 	switch {
+	case ev.Result == IdleTimeout && next != nil:
+		e.continueAt(r, next)
 	case ev.Committed && !(r.route.Kind == waxwingwall.Streaming && r.route.Resumable):
 		r.noRetry = "not_resumable"
 		e.abort(r)
@@ -294,6 +311,7 @@
 	switch ev.Result {
 	case Complete:
 		r.runs++
+		target.heardAt = e.now
 		target.recordReachable()
 		target.recordRun(e.now, false)
 	case Failed:
@@ -548,6 +566,7 @@
 // removeRequest removes a request from the table.
 func (e *Edge) removeRequest(r *request) {
 	e.cancelAsk(r)
+	e.releaseNext(r)
 	delete(e.requests, r.id)
 }
 
--- a/core/edge/retry.go
+++ b/core/edge/retry.go
@@ -45,13 +45,23 @@
 
 // take takes one retry; it returns false if none is left.
 func (b *retryBudget) take(now time.Time) bool {
-	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
-		b.balance = min(b.balance+b.reserve*elapsed.Seconds()/b.window.Seconds(), max(b.reserve, b.balance))
-	}
-	b.updatedAt = now
-	if b.balance < 1 {
+	if b.available(now) < 1 {
 		return false
 	}
 	b.balance--
 	return true
 }
+
+// giveBack returns a retry that was taken and not used.
+func (b *retryBudget) giveBack() {
+	b.balance++
+}
+
+// available returns the number of retries that are left.
+func (b *retryBudget) available(now time.Time) float64 {
+	if elapsed := now.Sub(b.updatedAt); elapsed > 0 {
+		b.balance = min(b.balance+b.reserve*elapsed.Seconds()/b.window.Seconds(), max(b.reserve, b.balance))
+	}
+	b.updatedAt = now
+	return b.balance
+}
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -97,10 +97,11 @@
 	// wait for each part of its body; zero leaves only the limit of the context.
 	HeaderTimeout, IdleTimeout time.Duration
 
-	// KeepWaiting is asked when HeaderTimeout or IdleTimeout has passed. If it reports
-	// true, the wait begins anew. It is called on the goroutine that waits; nil never
+	// KeepWaiting is asked when HeaderTimeout or IdleTimeout has passed and nothing has
+	// arrived for the time idle. It returns how much longer to wait until it is asked
+	// again; zero ends the wait. It is called on the goroutine that waits; nil never
 	// prolongs a wait.
-	KeepWaiting func() bool
+	KeepWaiting func(idle time.Duration) time.Duration
 
 	// DialTimeout limits the wait for a new connection; zero selects the default.
 	DialTimeout time.Duration
@@ -285,9 +286,11 @@
 	net.Conn
 
 	// timeout limits each wait for bytes; zero means no limit. keepWaiting, unless it
-	// is nil, is asked whether to prolong a wait.
+	// is nil, is asked whether to prolong a wait; idleSince is when the wait began or the
+	// last bytes arrived.
 	timeout     time.Duration
-	keepWaiting func() bool
+	keepWaiting func(idle time.Duration) time.Duration
+	idleSince   time.Time
 
 	// limited is set if only remaining bytes may be read.
 	limited   bool
@@ -297,9 +300,10 @@
 // wait sets the limit for the following waits.
 func (s *source) wait(timeout time.Duration) error {
 	s.timeout = timeout
+	s.idleSince = time.Now()
 	deadline := time.Time{}
 	if timeout > 0 {
-		deadline = time.Now().Add(timeout)
+		deadline = s.idleSince.Add(timeout)
 	}
 	return s.SetReadDeadline(deadline)
 }
@@ -315,10 +319,18 @@
 	for {
 		n, err := s.Conn.Read(b)
 		s.remaining -= n
-		if n > 0 || s.timeout == 0 || s.keepWaiting == nil || !isTimeout(err) || !s.keepWaiting() {
+		if n > 0 {
+			s.idleSince = time.Now()
 			return n, err
 		}
-		if err := s.wait(s.timeout); err != nil {
+		if s.timeout == 0 || s.keepWaiting == nil || !isTimeout(err) {
+			return n, err
+		}
+		more := s.keepWaiting(time.Since(s.idleSince))
+		if more <= 0 {
+			return n, err
+		}
+		if err := s.SetReadDeadline(time.Now().Add(more)); err != nil {
 			return 0, err
 		}
 	}
--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -292,12 +292,18 @@
 			r := (&endpoint{addr: l.Addr().(*net.TCPAddr).AddrPort()}).request("1")
 			r.HeaderTimeout = 20 * time.Millisecond
 			r.IdleTimeout = 20 * time.Millisecond
-			r.KeepWaiting = func() bool {
+			r.KeepWaiting = func(idle time.Duration) time.Duration {
 				asked++
+				if idle < time.Duration(asked)*20*time.Millisecond {
+					t.Errorf("idle for %v when asked for time %d", idle, asked)
+				}
 				if asked == 3 {
 					proceed()
 				}
-				return asked <= test.waits
+				if asked > test.waits {
+					return 0
+				}
+				return 20 * time.Millisecond
 			}
 			text, err := readBody(p, r)
 			if !errors.Is(err, test.want) || err == nil && text != "one" {
--- a/relay/control.go
+++ b/relay/control.go
@@ -89,7 +89,6 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
-		linkSuspect:  r.edge.LinkSuspect(now),
 	})
 }
 
@@ -146,6 +145,10 @@
 		r.spawn(func() { r.probe(a) })
 	case edge.Dispatch:
 		r.sendAction(a.Request, a, false)
+	case edge.KeepWaiting:
+		r.sendAction(a.Request, a, false)
+	case edge.LeaveAttempt:
+		r.sendAction(a.Request, a, false)
 	case edge.Refuse:
 		r.sendAction(a.Request, a, true)
 	case edge.Deliver:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,10 +99,8 @@
 	addresses  []netip.AddrPort
 	addressTTL time.Duration
 
-	// endpointsAge and linkSuspect are edge.Edge.EndpointsAge and LinkSuspect at the
-	// time of the snapshot.
+	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
 	endpointsAge time.Duration
-	linkSuspect  bool
 }
 
 // job is work for the control goroutine: an event or a function to call.
--- a/relay/request.go
+++ b/relay/request.go
@@ -146,6 +146,9 @@
 // perform performs one action and reports whether it was the last.
 func (p *proxyRequest) perform(a effect.Action) bool {
 	switch a := a.(type) {
+	case edge.KeepWaiting, edge.LeaveAttempt:
+		// The attempt ended before the control goroutine had decided.
+		return false
 	case edge.Dispatch:
 		p.rank = a.Rank
 		p.runAttempt(a)
@@ -276,7 +279,7 @@
 		SendBy:        d.SendBy,
 		HeaderTimeout: d.FirstTimeout,
 		IdleTimeout:   d.IdleTimeout,
-		KeepWaiting:   func() bool { return p.relay.sharedState.Load().linkSuspect },
+		KeepWaiting:   func(idle time.Duration) time.Duration { return p.reportStalled(ctx, d, idle) },
 		Match: func(h http.Header) bool {
 			id := p.relay.codec.ParseReply(0, h).Call
 			return id == "" || id == p.call.ID
@@ -298,6 +301,25 @@
 	return p.forwardAnswer(d, answer)
 }
 
+// reportStalled reports that an endpoint has sent nothing for some time. It returns how
+// much longer to wait; zero if the attempt is to be left.
+func (p *proxyRequest) reportStalled(ctx context.Context, d edge.Dispatch, idle time.Duration) time.Duration {
+	p.relay.postEvent(edge.AttemptStalled{
+		Request: d.Request,
+		Attempt: d.Attempt,
+		Idle:    idle,
+	})
+	select {
+	case a := <-p.actions:
+		if a, ok := a.(edge.KeepWaiting); ok {
+			return a.For
+		}
+	case <-ctx.Done():
+	case <-p.relay.ctx.Done():
+	}
+	return 0
+}
+
 // reportLimit reports the limit that an endpoint names in the header of an answer, or
 // that it names none any more.
 func (p *proxyRequest) reportLimit(d edge.Dispatch, answer *origin.Answer) {
