core/sched: leave an idle attempt only for an endpoint that takes the request

Callers got 502 endpoint_failed while their endpoints went on after a second or two without output. An attempt was ended once its idle time had passed: all attempts of a tick were judged by the same retry, so those beyond the last one were refused, and work without a retry was ended after four first-token targets.

An idle attempt now ends only together with the dispatch that replaces it: the retry is taken and an endpoint with room is chosen first, for endpoints with limits once the permit is there. Without one the attempt goes on, until 30 s without output, as the driver allows. A retry at the same endpoint needs a sign that just the connection has failed. An endpoint from which nothing arrives gets no new work while its attempts wait.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -250,7 +250,7 @@
 			all = append(all, EndpointLoad{
 				Endpoint: e.spec.Name,
 				Requests: len(e.running),
-				Suspect:  s.runsSuspect(now, e),
+				Suspect:  s.runsSuspect(now, e, nil),
 			})
 		}
 	}
--- a/core/sched/idle.go
+++ b/core/sched/idle.go
@@ -21,47 +21,105 @@
 	// before the bounds apply.
 	idleFactor = 3
 
-	// nonIdempotentTargets is the time, in FirstToken targets, for which an attempt
-	// that can't be retried may be idle before its outcome is reported as unknown.
-	nonIdempotentTargets = 4
+	// maxSilence is the longest time that an attempt may produce no output. It is not
+	// less than what the driver allows.
+	maxSilence = 30 * time.Second
+
+	// silentTimeouts is the time, in idle timeouts, after which an attempt that can't
+	// be moved shows that its endpoint is silent, and not just its connection.
+	silentTimeouts = 2
 )
 
-// cancelIdle cancels attempts whose idle timeout has passed. Idempotent work is
-// dispatched again on a new connection; the endpoint backs off only if the new
-// connection times out too.
-func (s *Scheduler) cancelIdle(now time.Time) []effect.Action {
-	var acts []effect.Action
+// handleIdle handles the attempts whose idle timeout has passed.
+func (s *Scheduler) handleIdle(now time.Time) []effect.Action {
+	var idle []*job
 	for _, e := range s.endpoints {
-		var idle []*job
 		for _, j := range e.running {
 			if s.isIdle(now, j) {
 				idle = append(idle, j)
 			}
 		}
-		for _, j := range idle {
-			acts = append(acts, s.cancelIdleAttempt(now, j, e)...)
-		}
+	}
+	var acts []effect.Action
+	for _, j := range idle {
+		acts = append(acts, s.handleIdleAttempt(now, j)...)
 	}
 	return acts
 }
 
-// isIdle reports whether an attempt has timed out. An attempt that can't be
-// retried gets more time, because its connection may only be slow.
+// isIdle reports whether an attempt has timed out.
 func (s *Scheduler) isIdle(now time.Time, j *job) bool {
-	idle := now.Sub(j.lastProgress)
-	if idle <= s.idleTimeout(j) {
+	return now.Sub(j.lastProgress) > s.idleTimeout(j)
+}
+
+// handleIdleAttempt moves an idle attempt to an endpoint that takes it at once. An
+// attempt that can't be moved continues until maxSilence, because its endpoint may
+// only be slow.
+func (s *Scheduler) handleIdleAttempt(now time.Time, j *job) []effect.Action {
+	if s.isSilent(now, j) {
+		j.endpoint.backOff(now)
+	}
+	if now.Sub(j.lastProgress) > maxSilence {
+		return append([]effect.Action{s.cancelIdle(now, j)}, s.handleFailure(now, j, IdleTimeout)...)
+	}
+	if !s.mayRetry(now, j) {
+		return nil
+	}
+	to, newConnection := s.nextEndpoint(now, j)
+	if to == nil {
+		s.askPermit(now, j)
+		return nil
+	}
+	cancel := s.leaveEndpoint(now, j)
+	j.newConnection = newConnection
+	return []effect.Action{cancel, s.dispatch(now, j, to)}
+}
+
+// isSilent reports whether an idle attempt shows that its endpoint is silent: nothing
+// arrived on a new connection either.
+func (s *Scheduler) isSilent(now time.Time, j *job) bool {
+	if !j.work.Idempotent || j.endpoint.lastActivity.After(j.lastProgress) {
 		return false
 	}
-	if j.class == nil || s.mayRetry(now, j) {
-		return true
+	return j.newConnection || now.Sub(j.lastProgress) > silentTimeouts*s.idleTimeout(j)
+}
+
+// nextEndpoint returns the endpoint that takes the next attempt of an idle job at once,
+// and whether the attempt needs a new connection. The endpoint is the same one if only
+// the connection may have failed, and nil if none takes it.
+func (s *Scheduler) nextEndpoint(now time.Time, j *job) (to *endpoint, newConnection bool) {
+	e := j.endpoint
+	newConnection = !e.lastActivity.After(j.dispatchedAt)
+	if newConnection && s.fits(now, j, e) {
+		return e, true
+	}
+	if to := s.chooseOther(now, j, e); to != nil {
+		return to, newConnection
+	}
+	if to := s.chooseAny(now, j, e); to != nil {
+		return to, newConnection
 	}
-	return idle > nonIdempotentTargets*j.class.spec.FirstToken
+	if now.Sub(e.lastActivity) <= s.idleTimeout(j) && s.fits(now, j, e) {
+		return e, true
+	}
+	return nil, false
+}
+
+// leaveEndpoint ends an idle attempt for a retry that is dispatched next.
+func (s *Scheduler) leaveEndpoint(now time.Time, j *job) effect.Action {
+	cancel := s.cancelIdle(now, j)
+	s.retries.Take()
+	j.failedEndpoint = j.endpoint
+	s.releaseSlot(j)
+	j.queuedAt = now
+	s.sharesStale = true
+	return cancel
 }
 
 // idleTimeout returns how long an attempt may produce no output.
 func (s *Scheduler) idleTimeout(j *job) time.Duration {
 	if j.class == nil {
-		return maxRetryAfter
+		return maxSilence
 	}
 	target := j.class.spec.FirstToken
 	low := time.Duration(minIdleFraction * float64(target))
@@ -86,17 +144,15 @@
 // it at a fast endpoint.
 const maxProgressTokens = 8
 
-func (s *Scheduler) cancelIdleAttempt(now time.Time, j *job, e *endpoint) []effect.Action {
-	if j.newConnection {
-		e.backOff(now)
-	}
+// cancelIdle returns the action that cancels an idle attempt.
+func (s *Scheduler) cancelIdle(now time.Time, j *job) effect.Action {
+	e := j.endpoint
 	if j.hasOutput && e.lastActivity.After(j.lastProgress) {
 		s.recordTokenGap(now, e, now.Sub(j.lastProgress)/maxProgressTokens)
 	}
-	acts := []effect.Action{Cancel{
+	return Cancel{
 		Identity: j.work.Identity,
 		Attempt:  j.attempt,
 		Reason:   IdleTimeout,
-	}}
-	return append(acts, s.handleFailure(now, j, IdleTimeout)...)
+	}
 }
--- a/core/sched/isolate.go
+++ b/core/sched/isolate.go
@@ -22,7 +22,7 @@
 // endpoint, because one crash creates suspects at several routers at the same
 // time.
 func (s *Scheduler) canIsolate(now time.Time, j *job, e *endpoint) bool {
-	if s.runsSuspect(now, e) || s.peerRunsSuspect(now, e) {
+	if s.runsSuspect(now, e, j) || s.peerRunsSuspect(now, e) {
 		e.lastSuspect = now
 		return false
 	}
@@ -41,10 +41,11 @@
 	return last
 }
 
-// runsSuspect reports whether this router runs a suspect on the endpoint.
-func (s *Scheduler) runsSuspect(now time.Time, e *endpoint) bool {
+// runsSuspect reports whether this router runs a suspect other than except on the
+// endpoint.
+func (s *Scheduler) runsSuspect(now time.Time, e *endpoint, except *job) bool {
 	for _, r := range e.running {
-		if s.isSuspect(now, r) {
+		if r != except && s.isSuspect(now, r) {
 			return true
 		}
 	}
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -109,7 +109,7 @@
 	for _, e := range j.pool.endpoints {
 		switch {
 		case !s.limits.Limited(e.spec.Name):
-		case !s.hasRoom(now, j, e) || e == j.failedEndpoint:
+		case !s.hasRoom(now, j, e) || e == j.failedEndpoint || e == j.endpoint:
 			ask.Exclude = append(ask.Exclude, e.spec.Name)
 		case best == nil || e.relativeLoad() < best.relativeLoad():
 			best = e
@@ -142,7 +142,8 @@
 	return false
 }
 
-// handleGranted dispatches the job that a permit was granted for.
+// handleGranted dispatches the job that a permit was granted for. An attempt that was
+// idle is left only if it still is.
 func (s *Scheduler) handleGranted(now time.Time, g limit.Granted) {
 	j := s.asks[g.ID]
 	delete(s.asks, g.ID)
@@ -152,10 +153,16 @@
 	}
 	j.ask = 0
 	e := s.byName[g.Endpoint]
-	if j.endpoint != nil || j.flow == nil || e == nil || !s.hasRoom(now, j, e) {
+	stays := j.endpoint != nil && !(s.isIdle(now, j) && s.mayRetry(now, j))
+	if stays || j.flow == nil || e == nil || !s.hasRoom(now, j, e) {
 		s.limits.GiveBack(now, g)
 		return
 	}
+	if j.endpoint != nil {
+		newConnection := !j.endpoint.lastActivity.After(j.dispatchedAt)
+		s.pendingActions = append(s.pendingActions, s.leaveEndpoint(now, j))
+		j.newConnection = newConnection
+	}
 	s.pendingActions = append(s.pendingActions, s.dispatch(now, j, e))
 }
 
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -85,14 +85,23 @@
 	if j.newConnection && s.fits(now, j, j.failedEndpoint) {
 		return j.failedEndpoint
 	}
+	if e := s.chooseOther(now, j, j.failedEndpoint); e != nil {
+		return e
+	}
+	return s.chooseAny(now, j, nil)
+}
+
+// chooseOther returns an endpoint that fits, is not slow and is not failed; nil if there
+// is none.
+func (s *Scheduler) chooseOther(now time.Time, j *job, failed *endpoint) *endpoint {
 	var candidates []*endpoint
 	for _, e := range j.pool.endpoints {
-		if s.fits(now, j, e) && e != j.failedEndpoint && !e.isSlowFor(j) {
+		if e != failed && s.fits(now, j, e) && !e.isSlowFor(j) {
 			candidates = append(candidates, e)
 		}
 	}
 	if len(candidates) == 0 {
-		return s.chooseAny(now, j)
+		return nil
 	}
 	if s.affinity && len(j.work.Prefix) > 0 {
 		if e := s.chooseByPrefix(j, candidates); e != nil {
@@ -103,11 +112,11 @@
 }
 
 // chooseAny returns the least loaded endpoint that fits, slow and avoided ones
-// included.
-func (s *Scheduler) chooseAny(now time.Time, j *job) *endpoint {
+// included, other than failed.
+func (s *Scheduler) chooseAny(now time.Time, j *job, failed *endpoint) *endpoint {
 	var best *endpoint
 	for _, e := range j.pool.endpoints {
-		if s.fits(now, j, e) && (best == nil || e.relativeLoad() < best.relativeLoad()) {
+		if e != failed && s.fits(now, j, e) && (best == nil || e.relativeLoad() < best.relativeLoad()) {
 			best = e
 		}
 	}
@@ -128,6 +137,9 @@
 	if j.flow.estimates.slotTime.seconds() < shortSlotTime.Seconds() {
 		load = len(e.running)
 	}
+	if e == j.endpoint {
+		load-- // the slot that the job holds itself
+	}
 	if float64(load)+1 > e.window {
 		return false
 	}
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -83,7 +83,7 @@
 }
 
 func (s *Scheduler) handleTick(now time.Time) []effect.Action {
-	acts := s.cancelIdle(now)
+	acts := s.handleIdle(now)
 	if now.Sub(s.lastMaintenance) < maintenanceInterval {
 		return acts
 	}
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -15,9 +15,8 @@
 const progressInterval = 25 * time.Millisecond
 
 // attemptIdleTimeout is the longest time that an attempt may run without
-// output. The scheduler usually cancels a stalled attempt earlier, but it may
-// wait longer for slow ranks and for work that can't be repeated; this timeout
-// then ends the attempt.
+// output. The scheduler leaves a stalled attempt earlier if another endpoint takes
+// the request at once; otherwise the attempt waits, until this timeout ends it.
 const attemptIdleTimeout = 30 * time.Second
 
 // start starts an attempt on an endpoint.
