--- a/core/sched/removal_test.go
+++ b/core/sched/removal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"waxwingwall/core/sched"
 )
@@ -22,3 +23,42 @@
 		t.Errorf("attempt %d is dispatched to %s, which was removed", d.Attempt, d.Endpoint)
 	}
 }
+
+// TestRemovedEndpointDies guards against work that stays with an endpoint that was removed
+// from the table and never answers: it moves, as it would from one that is listed.
+func TestRemovedEndpointDies(t *testing.T) {
+	const n = 4
+	m := newStreams(t, 10)
+	m.offerAll(n, 0)
+	m.run(200 * time.Millisecond)
+	m.s.SetEndpoints(m.now, m.specs(2)[1:])
+	m.silence(true, "model-0")
+	m.run(8 * time.Second)
+	m.expectWhole(n)
+}
+
+// TestRemovedEndpointReturns guards against an endpoint that gets more than its
+// concurrency because it was removed and listed again while it ran requests.
+func TestRemovedEndpointReturns(t *testing.T) {
+	m := newStreams(t, 4)
+	m.s.SetEndpoints(m.now, endpoints(2))
+	for range 2 * slots {
+		m.offer("shop", 2)
+	}
+	for _, d := range m.dispatches {
+		if d.Endpoint == "model-1" {
+			m.finish(d, sched.None)
+		}
+	}
+	m.s.SetEndpoints(m.now, endpoints(2)[1:])
+	m.s.SetEndpoints(m.now, endpoints(2))
+	m.dispatches = nil
+	for range slots {
+		m.offer("shop", 2)
+	}
+	for _, d := range m.dispatches {
+		if d.Endpoint == "model-0" {
+			t.Errorf("%s runs %d requests and gets another", d.Endpoint, slots)
+		}
+	}
+}
