--- a/core/sched/removal_test.go
+++ b/core/sched/removal_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"waxwingwall"
 	"waxwingwall/core/sched"
 )
 
@@ -62,3 +63,20 @@
 		}
 	}
 }
+
+// TestRetryEnds guards against a request that stays in the queue without end: its attempt
+// failed, and no endpoint takes another.
+func TestRetryEnds(t *testing.T) {
+	m := newStreams(t, 4)
+	m.offerAll(1, 0)
+	leaving := m.specs(2)
+	for i := range leaving {
+		leaving[i].Leaving = true
+	}
+	m.s.SetEndpoints(m.now, leaving)
+	m.finish(m.last(), sched.Broken)
+	m.run(time.Minute)
+	if len(m.refusals) != 1 || m.refusals[0].Problem.Outcome != waxwingwall.Unknown {
+		t.Errorf("after a minute without an endpoint there is no answer: %d refusals", len(m.refusals))
+	}
+}
