--- a/core/sched/removal_test.go
+++ b/core/sched/removal_test.go
@@ -80,3 +80,24 @@
 		t.Errorf("after a minute without an endpoint there is no answer: %d refusals", len(m.refusals))
 	}
 }
+
+// TestRemovedRankWhileQueued guards against a request that ran, waits for its next attempt
+// and ends as not run because its rank is removed.
+func TestRemovedRankWhileQueued(t *testing.T) {
+	m := newStreams(t, 4)
+	m.offerAll(1, 0)
+	leaving := m.specs(2)
+	for i := range leaving {
+		leaving[i].Leaving = true
+	}
+	m.s.SetEndpoints(m.now, leaving)
+	m.finish(m.last(), sched.Broken)
+	m.s.SetRanks(ranks[1:])
+	m.run(driverTick)
+	if len(m.refusals) != 1 || m.refusals[0].Problem.Outcome != waxwingwall.Unknown {
+		t.Errorf("refusals: %+v", m.refusals)
+		for _, r := range m.refusals {
+			t.Errorf("%+v", *r.Problem)
+		}
+	}
+}
