core/sched: retry at listed endpoints only

A request ended as 503 endpoint_gone beside a change of the configuration: after an idle timeout the retry goes to the same endpoint over a new connection, also if the endpoint was removed meanwhile, and the driver can't start an attempt there. Endpoints that are not in the table are now unusable.

Before: attempt 2 is dispatched to model-0, which was removed.

--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -48,6 +48,9 @@
 	// lastActivity is the last time at which one of the endpoint's streams
 	// carried data.
 	lastActivity time.Time
+
+	// removed is set while the endpoint is not in the table.
+	removed bool
 }
 
 // load returns the number of requests that the endpoint is assumed to run.
@@ -66,7 +69,7 @@
 
 // usable reports whether the endpoint may get new work.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.spec.Leaving && !now.Before(e.backoffUntil)
+	return !e.removed && !e.spec.Leaving && !now.Before(e.backoffUntil)
 }
 
 // pool is a set of endpoints with overlapping models, and the work for them.
@@ -218,6 +221,9 @@
 	sort.SliceStable(table, func(i, j int) bool {
 		return table[i].spec.Name < table[j].spec.Name
 	})
+	for _, e := range s.endpoints {
+		e.removed = byName[e.spec.Name] != e
+	}
 	s.endpoints = table
 	s.byName = byName
 	s.rebuildPools()
