core/sched: track attempts on removed endpoints

Beside a change of the configuration, requests on an endpoint that was removed and no longer answered waited for the driver's 30 s, and an endpoint that was removed and listed again got more requests than its concurrency: its attempts were forgotten with it. It is now kept while attempts run on it.

--- a/core/sched/idle.go
+++ b/core/sched/idle.go
@@ -33,10 +33,12 @@
 // handleIdle handles the attempts whose idle timeout has passed.
 func (s *Scheduler) handleIdle(now time.Time) []effect.Action {
 	var idle []*job
-	for _, e := range s.endpoints {
-		for _, j := range e.running {
-			if s.isIdle(now, j) {
-				idle = append(idle, j)
+	for _, table := range [][]*endpoint{s.endpoints, s.removed} {
+		for _, e := range table {
+			for _, j := range e.running {
+				if s.isIdle(now, j) {
+					idle = append(idle, j)
+				}
 			}
 		}
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -217,9 +217,11 @@
 	demandInterval time.Duration
 
 	// The tables. Iteration uses the slices, whose order is deterministic; the
-	// maps are indexes only.
+	// maps are indexes only. removed holds the endpoints that left the table with
+	// attempts that still run.
 	ranks     []RankSpec
 	endpoints []*endpoint
+	removed   []*endpoint
 	pools     []*pool
 	peers     []*peer
 	byName    map[waxwingwall.Endpoint]*endpoint
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -92,6 +92,7 @@
 	s.parts.Expire(now)
 	s.updatePeerInFlight(now)
 	s.dropIdleFlows(now)
+	s.dropRemoved()
 	s.peerDemandStale = true
 	for _, e := range s.endpoints {
 		if now.Sub(e.tokenGapAt) > tokenGapTTL {
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -199,12 +200,15 @@
 }
 
 // SetEndpoints replaces the table of endpoints. Attempts on a removed endpoint
-// continue until they are reported as Finished.
+// continue; they are moved when they are idle, as others are.
 func (s *Scheduler) SetEndpoints(_ time.Time, specs []EndpointSpec) {
 	var table []*endpoint
 	byName := map[waxwingwall.Endpoint]*endpoint{}
 	for _, spec := range specs {
 		e := s.byName[spec.Name]
+		if e == nil {
+			e = s.removedEndpoint(spec.Name)
+		}
 		if e == nil {
 			e = &endpoint{
 				window: float64(spec.Concurrency),
@@ -221,14 +225,39 @@
 	sort.SliceStable(table, func(i, j int) bool {
 		return table[i].spec.Name < table[j].spec.Name
 	})
-	for _, e := range s.endpoints {
-		e.removed = byName[e.spec.Name] != e
-	}
+	s.keepRemoved(byName)
 	s.endpoints = table
 	s.byName = byName
 	s.rebuildPools()
 }
 
+// removedEndpoint returns the removed endpoint of a name that still runs attempts, or nil.
+func (s *Scheduler) removedEndpoint(name waxwingwall.Endpoint) *endpoint {
+	for _, e := range s.removed {
+		if e.spec.Name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+// keepRemoved updates the removed endpoints for a new table.
+func (s *Scheduler) keepRemoved(byName map[waxwingwall.Endpoint]*endpoint) {
+	var removed []*endpoint
+	for _, e := range slices.Concat(s.removed, s.endpoints) {
+		e.removed = byName[e.spec.Name] != e
+		if e.removed && len(e.running) > 0 {
+			removed = append(removed, e)
+		}
+	}
+	s.removed = removed
+}
+
+// dropRemoved drops the removed endpoints that no longer run attempts.
+func (s *Scheduler) dropRemoved() {
+	s.removed = slices.DeleteFunc(s.removed, func(e *endpoint) bool { return len(e.running) == 0 })
+}
+
 // SetAccounts replaces the table of client accounts. An account that is not in
 // the table has weight 1.
 func (s *Scheduler) SetAccounts(specs []AccountSpec) {
