core/sched: end requests that wait for another attempt for too long

A request whose attempt had failed or was preempted stayed in the queue without an answer while all its endpoints were leaving or backing off: only work that had never run was refused when overdue. It now waits as long as an attempt may be silent, and ends with its outcome unknown.

Before: after a minute without an endpoint there is no answer.

--- a/core/sched/idle.go
+++ b/core/sched/idle.go
@@ -21,8 +21,9 @@
 	// before the bounds apply.
 	idleFactor = 3
 
-	// maxSilence is the longest time that an attempt may produce no output. It is not
-	// less than what the driver allows.
+	// maxSilence is the longest time for which an attempt may produce no output, and a
+	// request that has run before may wait for its next attempt. It is not less than
+	// what the driver allows.
 	maxSilence = 30 * time.Second
 
 	// silentTimeouts is the time, in idle timeouts, after which an attempt that can't
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if j := s.youngest(now, p, c); j != nil {
-			return s.requeue(j)
+			return s.requeue(now, j)
 		}
 	}
 	return nil
@@ -74,10 +74,11 @@
 }
 
 // requeue cancels an attempt and puts the job at the head of its queue.
-func (s *Scheduler) requeue(j *job) effect.Action {
+func (s *Scheduler) requeue(now time.Time, j *job) effect.Action {
 	s.preemptions.Take()
 	s.releaseSlot(j)
 	j.newConnection = false
+	j.queuedAt = now
 	j.flow.queue = append([]*job{j}, j.flow.queue...)
 	s.demandUnsent = true
 	return Cancel{
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -118,6 +118,7 @@
 // refuseOverdue refuses queued work that is expected to miss its deadline by
 // far because capacity was lost since its offer. Work that is only a little
 // late is served: refusing it after it was queued would be worse.
+// Work that has run before waits up to maxSilence for its next attempt.
 func (s *Scheduler) refuseOverdue(now time.Time) []effect.Action {
 	var acts []effect.Action
 	for _, p := range s.pools {
@@ -135,6 +136,10 @@
 	for i := len(f.queue) - 1; i >= 0; i-- {
 		j := f.queue[i]
 		if j.attempt > 0 {
+			if now.Sub(j.queuedAt) > maxSilence {
+				s.drop(j)
+				acts = append(acts, s.refuse(j, s.noEndpointProblem(j)))
+			}
 			continue
 		}
 		wait := s.estimateWait(now, j, i+1)
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -164,7 +164,7 @@
 	newConnection  bool
 	dispatchedAt   time.Time
 
-	// queuedAt is the time of the offer or of the last failure.
+	// queuedAt is the time of the offer, or of the last failure or preemption.
 	queuedAt time.Time
 
 	// ask is the ID of the pending ask for a permit, zero if there is none; askAfter is
