core/sched: say that removed work may have run

A request that had run and waited for its next attempt was refused as not_run when a change of the configuration removed its rank or model. The node corrects this, other users of the package don't.

Before: Code:no_endpoint Outcome:not_run. The test passes now.

--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -382,10 +382,7 @@
 		j.pool, j.class, j.flow = nil, nil, nil
 		if j.endpoint == nil {
 			delete(s.jobs, j.work.Identity)
-			s.pendingActions = append(s.pendingActions, Refuse{
-				Identity: j.work.Identity,
-				Problem:  s.noEndpointProblem(j),
-			})
+			s.pendingActions = append(s.pendingActions, s.refuse(j, s.noEndpointProblem(j)))
 		}
 		return
 	}
