--- a/fake/client.go
+++ b/fake/client.go
@@ -172,6 +172,7 @@
 func (w *World) handleFinish(h *Host, id waxwingwall.Identity, end waxwingwall.End) {
 	c := w.clients[id]
 	if c != nil && end.Problem != nil && end.Problem.Code == core.CodeSlotUnavailable && c.slotRetries < maxSlotRetries {
+		w.Returned++
 		w.retrySlot(c, h)
 		return
 	}
--- a/fake/world.go
+++ b/fake/world.go
@@ -57,9 +57,11 @@
 	Hosts            []*Host
 	CrashProbability float64
 
-	// Runs counts the attempts on endpoints; Answers holds all final answers.
-	Runs    map[waxwingwall.Identity]int
-	Answers map[waxwingwall.Identity][]waxwingwall.End
+	// Runs counts the attempts on endpoints; Answers holds all final answers. Returned
+	// counts the requests that an owner accepted and gave back to the gateway.
+	Runs     map[waxwingwall.Identity]int
+	Answers  map[waxwingwall.Identity][]waxwingwall.End
+	Returned int
 
 	// Counts counts the operations of all routers.
 	Counts Counts
