core, core/sched: count no idle time before a request is sent

Urgent requests were given back to their gateway, or ended as 503 slot_unavailable, when the record of their begin took more than 126 ms, such as with a busy witness. The scheduler took the wait for the record for silence of the endpoint and dispatched the request again; the second begin met the first one and failed. The endpoints backed off for it as well. The idle timeout now starts when the request is sent.

--- a/core/request.go
+++ b/core/request.go
@@ -267,6 +267,7 @@
 		return
 	}
 	q.phase = recording
+	n.Scheduler.Hold(q.Identity)
 	n.stepLedger = true
 	if v := n.Ledger.Begin(now, runRequest(q.Request)); v.Kind != claim.Fresh {
 		n.beginFailed(now, q, v)
@@ -326,6 +327,7 @@
 	}
 	q.phase = running
 	q.attempted = true
+	n.Scheduler.Start(now, q.Identity)
 	n.actions = append(n.actions, StartAttempt{
 		Identity:      q.Identity,
 		Attempt:       q.next.Attempt,
--- a/core/sched/idle.go
+++ b/core/sched/idle.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"waxwingwall"
 	"waxwingwall/core/effect"
 )
 
@@ -50,9 +51,25 @@
 	return acts
 }
 
+// Hold stops the idle timeout of a dispatched attempt, and its preemption, until Start: the
+// driver has yet to send the request.
+func (s *Scheduler) Hold(id waxwingwall.Identity) {
+	if j := s.jobs[id]; j != nil && j.endpoint != nil {
+		j.held = true
+	}
+}
+
+// Start restarts the idle timeout of a held attempt.
+func (s *Scheduler) Start(now time.Time, id waxwingwall.Identity) {
+	if j := s.jobs[id]; j != nil && j.held {
+		j.held = false
+		j.lastProgress = now
+	}
+}
+
 // isIdle reports whether an attempt has timed out.
 func (s *Scheduler) isIdle(now time.Time, j *job) bool {
-	return now.Sub(j.lastProgress) > s.idleTimeout(j)
+	return !j.held && now.Sub(j.lastProgress) > s.idleTimeout(j)
 }
 
 // handleIdleAttempt moves an idle attempt to an endpoint that takes it at once. An
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		for _, j := range e.running {
-			if j.class != c || !j.work.Idempotent || j.attempt > maxPreemptAttempts {
+			if j.class != c || j.held || !j.work.Idempotent || j.attempt > maxPreemptAttempts {
 				continue
 			}
 			if best == nil || j.seq > best.seq {
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -286,6 +286,7 @@
 	j.attempt++
 	j.dispatchedAt = now
 	j.lastProgress = now
+	j.held = false
 	j.hasOutput = false
 	j.hasProgress = false
 	e.running = append(e.running, j)
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -164,6 +164,9 @@
 	newConnection  bool
 	dispatchedAt   time.Time
 
+	// held is set while the driver has yet to send the request of the attempt.
+	held bool
+
 	// queuedAt is the time of the offer, or of the last failure or preemption.
 	queuedAt time.Time
 
