router: read again from the owner before giving an answer up

A request that may not run twice ended as outcome_unknown when one read from its owner failed, such as by a call on the same connection that timed out, although the owner ran it on. The read is now repeated for as long as other requests look for their next owner.

Before: outcome_unknown: the router that ran this request was lost.

--- a/router/gateway.go
+++ b/router/gateway.go
@@ -28,7 +28,7 @@
 	handoffRetryInterval = 100 * time.Millisecond
 
 	// failoverTimeout limits how long a request that lost its owner searches
-	// for the next owner.
+	// for the next owner, or tries to reach the same one if it may not run twice.
 	failoverTimeout = 8 * time.Second
 
 	// failoverRetryInterval is the time between two attempts to find the next
@@ -282,6 +282,9 @@
 // Next implements waxwingwall.Answer.
 func (a *answer) Next(ctx context.Context) (waxwingwall.Frames, error) {
 	f, err := a.owner.Next(ctx, a.request.Identity, len(a.delivered))
+	if err != nil && ctx.Err() == nil && !a.request.Idempotent {
+		f, err = a.readAgain(ctx)
+	}
 	if ctx.Err() != nil {
 		return waxwingwall.Frames{}, ctx.Err()
 	}
@@ -298,6 +301,24 @@
 	return f, nil
 }
 
+// readAgain repeats a read that got no answer: the connection to the owner may have
+// failed, and not the owner. It gives up after failoverTimeout.
+func (a *answer) readAgain(ctx context.Context) (waxwingwall.Frames, error) {
+	ctx, cancel := context.WithTimeout(ctx, failoverTimeout)
+	defer cancel()
+	for {
+		f, err := a.owner.Next(ctx, a.request.Identity, len(a.delivered))
+		if err == nil && ctx.Err() == nil {
+			return f, nil
+		}
+		select {
+		case <-time.After(failoverRetryInterval):
+		case <-ctx.Done():
+			return waxwingwall.Frames{}, ctx.Err()
+		}
+	}
+}
+
 // isOwnerStopping reports whether an end only states that the owner is
 // stopping.
 func isOwnerStopping(e *waxwingwall.End) bool {
