io/endpoint: close connections whose machine is gone

An attempt on a machine that was gone without a reset ended only at the limit for silence, or after 15 s and nine probes: connections to endpoints had the default keep-alives and no limit for bytes that are not acknowledged. They now have those of the other connections, so that silence need not stand for a dead machine. An endpoint that is silent acknowledges the probes.

Before: user timeout 0 ms, keep-alive after 15 s.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/io/tcp"
 )
 
 // Headers of a call.
@@ -205,9 +206,8 @@
 }
 
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-	}
+	dialer := tcp.PatientDialer()
+	dialer.Timeout = dialTimeout
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: maxIdlePerHost,
