--- a/core/sched/removal_test.go
+++ b/core/sched/removal_test.go
@@ -101,3 +101,29 @@
 		}
 	}
 }
+
+// TestRetryWaitsForBackoff guards against a request that ends because its attempt failed
+// while the other endpoint takes no more requests by its limit: its own endpoint backs off
+// for a moment only.
+func TestRetryWaitsForBackoff(t *testing.T) {
+	m := newStreams(t, 4)
+	m.s.SetEndpoints(m.now, m.specs(2)[1:])
+	m.offerAll(1, 0)
+	limited := m.last()
+	m.s.SetEndpoints(m.now, m.specs(2)[:1])
+	m.offerAll(1, 0)
+	m.run(time.Second)
+	m.s.SetEndpoints(m.now, m.specs(2))
+	m.step(sched.LimitNamed{
+		Identity: limited.Identity,
+		Attempt:  limited.Attempt,
+		Limit: waxwingwall.RateLimit{
+			Named: true,
+		},
+	})
+	failed := m.last()
+	delete(m.running, failed.Identity)
+	m.finish(failed, sched.Broken)
+	m.run(20 * time.Second)
+	m.expectWhole(2)
+}
