core/sched: let a retry wait if it gets no permit

A request ended as 503 endpoints_limited with an unknown outcome when its attempt failed or was preempted, its endpoint backed off for a moment and the others took no more by their limits: it was refused like work that had never run. It now waits for its turn, as other retries do.

--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -166,8 +166,8 @@
 	s.pendingActions = append(s.pendingActions, s.dispatch(now, j, e))
 }
 
-// handleDenied leaves a job in its queue if it may run elsewhere, and refuses it
-// otherwise.
+// handleDenied leaves a job in its queue if it may run elsewhere or has run before, and
+// refuses it otherwise.
 func (s *Scheduler) handleDenied(now time.Time, d limit.Denied) {
 	j := s.asks[d.ID]
 	delete(s.asks, d.ID)
@@ -176,7 +176,7 @@
 	}
 	j.ask = 0
 	j.askAfter = now.Add(d.RetryAfter)
-	if j.endpoint != nil || j.flow == nil || s.hasUnlimited(now, j) {
+	if j.attempt > 0 || j.flow == nil || s.hasUnlimited(now, j) {
 		return
 	}
 	s.drop(j)
