io/origin: an earlier refusal is not taken for a new answer

Callers saw orders that ran twice or more, or were told 503 (not run) for an order that had run, where an endpoint refused a request on a kept connection and wrote that refusal once more before its next answer there.

The cause: an answer without an ID was accepted for any request, and a request that was refused could be sent again on the same connection, where a repetition of the refusal names it rightly. Both made the attempt Declined, after which the request is sent again or its caller is told that it has not run.

An answer that names no request is now accepted only as the first answer on its connection, where nothing can be repeated yet, and that connection is not reused. Later it ends the attempt as Broken: the request may have run. A request that was answered with a failure on a connection is not sent there again; the connection goes on serving others, and is replaced after 256 failures, so that the IDs kept are few. Whenever a refusal is believed, no earlier answer on the connection can look like it, also when it comes after a 1xx or before the request is completely written.

A refusal that names nothing now counts as "may have run" on a reused connection, also if it is sincere: the request gets 502, or is repeated if it may be.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -8,19 +8,24 @@
 // request: only ErrUnreachable and ErrExpired guarantee that nothing was sent.
 //
 // An endpoint can send more than it should: an answer to an earlier, abandoned
-// request, or bytes after a complete answer. Answers to other requests are
-// skipped, and a connection with unexpected bytes is not reused.
+// request, an earlier answer once more, or bytes after a complete answer. Answers to
+// other requests are skipped, and a connection with unexpected bytes is not reused.
+// An answer that names no request is accepted only as the first one on its
+// connection, which is then not reused. A request that failed on a connection is not
+// sent again there, since a repetition of that failure would name it as well.
 package origin
 
 import (
 	"bufio"
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +66,10 @@
 	// maxHeadBytes limits what is read until the head of an answer is complete.
 	maxHeadBytes = 64 << 10
 
+	// maxFailedRequests limits how many requests may fail on a connection before it is
+	// no longer reused.
+	maxFailedRequests = 256
+
 	// readBufferBytes is the size of a connection's read buffer.
 	readBufferBytes = 4 << 10
 )
@@ -109,8 +118,14 @@
 	// SendBy is the time until which the request may be sent; zero if there is no limit.
 	SendBy time.Time
 
-	// Match reports whether the header of an answer belongs to this request.
-	Match func(http.Header) bool
+	// ID identifies the request. A request is not sent on a connection on which one
+	// with the same ID was answered with a failure; empty if nothing identifies it.
+	ID string
+
+	// Match reports whether the header of an answer belongs to this request, and
+	// Unnamed whether it names no request at all. If they are nil, each answer belongs
+	// to the request.
+	Match, Unnamed func(http.Header) bool
 
 	// Trace is called at each stage of the request, possibly from another goroutine;
 	// nil if nobody is interested.
@@ -140,6 +155,7 @@
 // Pool keeps connections to endpoints. Create it with New.
 type Pool struct {
 	dialer *net.Dialer
+	seed   maphash.Seed
 
 	// onDial is called after each dial; err is nil if it succeeded.
 	onDial func(to netip.AddrPort, took time.Duration, err error)
@@ -158,6 +174,7 @@
 func New(opts ...Option) (*Pool, func()) {
 	p := &Pool{
 		dialer: tcp.Dialer(),
+		seed:   maphash.MakeSeed(),
 		onDial: func(netip.AddrPort, time.Duration, error) {},
 		idle:   map[netip.AddrPort][]*conn{},
 	}
@@ -187,6 +204,11 @@
 
 	// expires is the time after which it must not be reused; zero if it is new.
 	expires time.Time
+
+	// answered is set once an answer was read. failed are the hashes of the IDs of the
+	// requests that were answered with a failure.
+	answered bool
+	failed   []uint64
 }
 
 // Answer is an endpoint's answer.
@@ -206,6 +228,9 @@
 	idleTimeout time.Duration
 	trace       func(Stage)
 	complete    bool
+
+	// unnamed is set if the answer names no request.
+	unnamed bool
 }
 
 // Do sends a request and returns its answer once the header has arrived. The
@@ -243,7 +268,7 @@
 // acquire returns an idle connection, or makes a new one.
 func (p *Pool) acquire(ctx context.Context, r Request) (*conn, error) {
 	for {
-		c := p.popIdle(r.Address)
+		c := p.popIdle(r.Address, r.ID)
 		if c == nil {
 			break
 		}
@@ -349,22 +374,30 @@
 	return nil
 }
 
-// popIdle takes the most recently used idle connection to an address, or
-// returns nil.
-func (p *Pool) popIdle(addr netip.AddrPort) *conn {
+// popIdle takes the most recently used idle connection to an address on which the
+// request with an ID has not failed, or returns nil.
+func (p *Pool) popIdle(addr netip.AddrPort, id string) *conn {
+	hash := p.hash(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[addr]
-	if len(conns) == 0 {
-		return nil
-	}
-	c := conns[len(conns)-1]
-	if len(conns) == 1 {
-		delete(p.idle, addr)
-	} else {
-		p.idle[addr] = conns[:len(conns)-1]
+	for i, c := range slices.Backward(conns) {
+		if id != "" && slices.Contains(c.failed, hash) {
+			continue
+		}
+		if len(conns) == 1 {
+			delete(p.idle, addr)
+		} else {
+			p.idle[addr] = slices.Delete(conns, i, i+1)
+		}
+		return c
 	}
-	return c
+	return nil
+}
+
+// hash returns the hash of the ID of a request.
+func (p *Pool) hash(id string) uint64 {
+	return maphash.String(p.seed, id)
 }
 
 // usable reports whether an idle connection has not expired, is still open and has
@@ -519,7 +552,16 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Match == nil || r.Match(resp.Header) {
+		unnamed := r.Unnamed != nil && r.Unnamed(resp.Header)
+		if unnamed && a.conn.answered {
+			return trace.Errorf("answer that names no request on a reused connection")
+		}
+		a.conn.answered = true
+		if unnamed || r.Match == nil || r.Match(resp.Header) {
+			if resp.StatusCode >= http.StatusMultipleChoices && r.ID != "" {
+				a.conn.failed = append(a.conn.failed, a.pool.hash(r.ID))
+			}
+			a.unnamed = unnamed
 			a.resp = resp
 			a.Status = resp.StatusCode
 			a.Header = resp.Header
@@ -596,6 +638,9 @@
 	if !a.complete || a.resp.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
+	if a.unnamed || len(a.conn.failed) >= maxFailedRequests {
+		return false
+	}
 	if a.Length < 0 && len(a.resp.TransferEncoding) == 0 {
 		return false
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -280,11 +280,10 @@
 		HeaderTimeout: d.FirstTimeout,
 		IdleTimeout:   d.IdleTimeout,
 		KeepWaiting:   func(idle time.Duration) time.Duration { return p.reportStalled(ctx, d, idle) },
-		Match: func(h http.Header) bool {
-			id := p.relay.codec.ParseReply(0, h).Call
-			return id == "" || id == p.call.ID
-		},
-		Trace: onStage,
+		ID:            p.call.ID,
+		Match:         func(h http.Header) bool { return p.relay.codec.ParseReply(0, h).Call == p.call.ID },
+		Unnamed:       func(h http.Header) bool { return p.relay.codec.ParseReply(0, h).Call == "" },
+		Trace:         onStage,
 	})
 	if errors.Is(err, origin.ErrIdleTimeout) {
 		// Other connections to the same address may be dead as well.
