io/endpoint: a connection ends with a refusal on it

A run of an engine was reported as declined (not run), and a call of a service got the refusal of an earlier call as its answer, where the endpoint wrote that refusal once more on a kept connection.

The cause: refusals there name no attempt, and net/http reuses the connection after one.

The connection is now retired by any answer that is not a success: net/http finds that nothing could be written and sends the next request on another one. An exchange that began before the earlier answer was judged does not believe a refusal either. Earlier answers on a reused connection are thus all successes, which name their attempt. The rest of the request that was refused may still be written, so that the body of an early answer can be read.

io/engine.TestRepeatedRefusal and io/service.TestRepeatedRefusal failed before:

io/engine: refused with 1 runs, want one run that is not declined io/service: got {Status:503 Body:full}, want the answer

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -98,15 +98,21 @@
 // ErrIdleTimeout is the cause with which a Watchdog cancels its context.
 var ErrIdleTimeout = errors.New("endpoint idle timeout")
 
-// Watchdog monitors one run. It records whether a connection was established,
+// Watchdog monitors one run. It records the connection of the run, if there is one,
 // and cancels the run's context with ErrIdleTimeout when nothing arrives in
 // time.
 type Watchdog struct {
 	connected atomic.Bool
-	cancel    context.CancelCauseFunc
-	parent    context.Context
-	ctx       context.Context
-	timer     *time.Timer
+
+	// conn is the connection of the run. trusted is set if all earlier answers on it
+	// were accepted, so that a refusal can't be a repetition of one of them.
+	conn    atomic.Pointer[conn]
+	trusted atomic.Bool
+
+	cancel context.CancelCauseFunc
+	parent context.Context
+	ctx    context.Context
+	timer  *time.Timer
 }
 
 // NewWatchdog starts to monitor a run and returns the context of the run, which
@@ -121,10 +127,42 @@
 	// it was written on the previous one. Each time it calls GetConn first.
 	return w, httptrace.WithClientTrace(w.ctx, &httptrace.ClientTrace{
 		GetConn: func(string) { w.connected.Store(false) },
-		GotConn: func(httptrace.GotConnInfo) { w.connected.Store(true) },
+		GotConn: w.gotConn,
 	})
 }
 
+func (w *Watchdog) gotConn(info httptrace.GotConnInfo) {
+	w.connected.Store(true)
+	c, ok := info.Conn.(*conn)
+	if !ok {
+		w.trusted.Store(false)
+		return
+	}
+	w.conn.Store(c)
+	w.trusted.Store(!c.pending.Swap(true))
+	if c.retired.Load() {
+		c.closed.Store(true)
+	}
+}
+
+// Accept records that the answer is not a refusal, so that its connection can be
+// reused.
+func (w *Watchdog) Accept() {
+	if c := w.conn.Load(); c != nil {
+		c.pending.Store(false)
+	}
+}
+
+// Refuse records that the answer is a refusal or can't be trusted. Its connection is
+// not reused, since the endpoint may write the same answer there once more. Refuse
+// reports whether the answer belongs to this run for certain.
+func (w *Watchdog) Refuse() bool {
+	if c := w.conn.Load(); c != nil {
+		c.retired.Store(true)
+	}
+	return w.trusted.Load()
+}
+
 // Pause stops the timer while the router itself processes a frame.
 func (w *Watchdog) Pause() {
 	w.timer.Stop()
@@ -205,11 +243,42 @@
 	return p, p.reused.CloseIdleConnections
 }
 
+// conn is a connection of a Pool.
+type conn struct {
+	net.Conn
+
+	// pending is set from the start of an exchange until its answer was accepted.
+	pending atomic.Bool
+
+	// retired is set if no other request may be sent. The current one may still be
+	// written; closed is set when net/http begins the next one.
+	retired, closed atomic.Bool
+}
+
+var errRetired = errors.New("the connection is not reused")
+
+// Write implements net.Conn. After an error with which nothing was written, net/http
+// sends the request on another connection.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, errRetired
+	}
+	return c.Conn.Write(b)
+}
+
 func newTransport() *http.Transport {
 	dialer := tcp.PatientDialer()
 	dialer.Timeout = dialTimeout
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{
+				Conn: c,
+			}, nil
+		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -190,8 +190,9 @@
 		call.OnHead(res.Header)
 	}
 	if res.StatusCode != http.StatusOK {
-		return End{}, statusError(res)
+		return End{}, statusError(watchdog, res)
 	}
+	watchdog.Accept()
 	d := decoder{
 		attempt:    call.Attempt,
 		mismatched: &c.mismatched,
@@ -250,13 +251,16 @@
 
 // statusError returns the error for a response that is not a stream. Statuses
 // with which an engine declines a request before it runs it count as Declined.
-func statusError(res *http.Response) error {
+func statusError(watchdog *endpoint.Watchdog, res *http.Response) error {
+	certain := watchdog.Refuse()
 	body, _ := io.ReadAll(io.LimitReader(res.Body, maxErrorBytes))
 	f := endpoint.Broken
 	switch res.StatusCode {
 	case http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge,
 		http.StatusUnprocessableEntity, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		f = endpoint.Declined
+		if certain {
+			f = endpoint.Declined
+		}
 	}
 	return newError(f, res.StatusCode, 0, fmt.Errorf("%s: %s", res.Status, bytes.TrimSpace(body)))
 }
--- a/io/engine/load.go
+++ b/io/engine/load.go
@@ -103,10 +103,12 @@
 	defer res.Body.Close()
 	switch res.StatusCode {
 	case http.StatusOK:
+		watchdog.Accept()
 	case http.StatusConflict:
+		watchdog.Refuse()
 		return nil, trace.Wrap(ErrFenced)
 	default:
-		return nil, statusError(res)
+		return nil, statusError(watchdog, res)
 	}
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxReportBytes)).Decode(out); err != nil {
 		return nil, c.attemptError(watchdog, target, 0, err)
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -129,6 +129,11 @@
 		return Answer{}, c.newError(watchdog, call, err)
 	}
 	defer res.Body.Close()
+	if res.StatusCode == http.StatusOK {
+		watchdog.Accept()
+	} else {
+		watchdog.Refuse()
+	}
 	if call.OnHead != nil {
 		call.OnHead(res.Header)
 	}
