relay: nothing but a stream follows the start of a stream

A stream broke off and went on at another endpoint, which answered with 404, with JSON or with a long failure: the caller got that body in the middle of its stream, and the stream ended as complete. A redirect without a body, or the router's own problem when no endpoint was left, ended it as complete as well.

The cause: forwardAnswer and forwardLong did not ask whether an answer had begun, and the control goroutine refuses a request of which the caller has no event, although its header may have been sent.

Once an answer has begun, an answer that is no stream now ends the attempt: Declined stays so, a failure of the endpoint is Failed, anything else Broken. The request is then sent again or its connection closed, as after other failures. A stream does not follow an answer that is none, and a refusal closes the connection once an answer has begun.

--- a/relay/request.go
+++ b/relay/request.go
@@ -71,9 +71,11 @@
 	bufferedAnswer *bufferedAnswer
 
 	// events splits the streams of the attempts into events and counts them;
-	// committed is set before the header of an answer is written to the caller.
+	// committed is set before the header of an answer is written to the caller, and
+	// notStream if that answer is no stream: nothing of another attempt may follow.
 	events    origin.EventSplitter
 	committed bool
+	notStream bool
 }
 
 // bufferedAnswer is a complete answer kept in memory.
@@ -155,12 +157,14 @@
 		return false
 	case edge.Refuse:
 		p.rank = a.Rank
+		if p.committed {
+			p.abort()
+		}
 		p.refuse(a.Problem)
 	case edge.Deliver:
 		p.deliver()
 	case edge.Abort:
-		p.requestEnded("cut")
-		panic(http.ErrAbortHandler)
+		p.abort()
 	case edge.Finished:
 		code := "served"
 		if p.callerLeft {
@@ -171,6 +175,13 @@
 	return true
 }
 
+// abort closes the caller's connection, so that its answer does not look complete. It
+// does not return.
+func (p *proxyRequest) abort() {
+	p.requestEnded("cut")
+	panic(http.ErrAbortHandler)
+}
+
 // requestEnded records the end of the request in the metrics.
 func (p *proxyRequest) requestEnded(code string) {
 	p.relay.metrics.requestEnded(code, p.rank, time.Since(p.arrived))
@@ -357,7 +368,8 @@
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// forwardAnswer reads an answer to its end and forwards it. An answer shorter than
+// forwardAnswer reads an answer to its end and forwards it, unless another one has
+// begun: only events may follow the start of a stream. An answer shorter than
 // maxBufferedBytes is buffered; if it is a server error, it is kept for deliver,
 // since the control goroutine may dispatch the request again. A longer answer is
 // forwarded in parts, whatever its status.
@@ -378,6 +390,13 @@
 	case reply.NotRun:
 		outcome.Result = edge.Declined
 		return outcome
+	case p.committed:
+		outcome.Result = edge.Broken
+		if answer.Status >= http.StatusBadRequest {
+			outcome.Result = edge.Failed
+		}
+		outcome.Err = "another answer inside a stream"
+		return outcome
 	case answer.Status < http.StatusMultipleChoices && !reply.Sealed:
 		// The seal is the endpoint's signature of the answer.
 		outcome.Result = edge.Broken
@@ -408,6 +427,7 @@
 // forwardLong forwards an answer that is too long to be buffered; start is the
 // part that was already read.
 func (p *proxyRequest) forwardLong(answer *origin.Answer, start []byte) edge.AttemptEnded {
+	p.notStream = true
 	p.commit(answer, answer.Length)
 	outcome := edge.AttemptEnded{
 		Status: answer.Status,
@@ -433,6 +453,13 @@
 // forwardStream forwards the events of an answer as they arrive. It forwards
 // complete events only, so that the stream can be resumed at another endpoint.
 func (p *proxyRequest) forwardStream(d edge.Dispatch, answer *origin.Answer) edge.AttemptEnded {
+	if p.notStream {
+		return edge.AttemptEnded{
+			Result: edge.Broken,
+			Status: answer.Status,
+			Err:    "stream inside another answer",
+		}
+	}
 	p.events.DiscardPartial()
 	buffer := make([]byte, copyBufferBytes)
 	started := false
