relay: a stream without a seal is no success

Callers got a stream with status 200 that the endpoint had not signed, from its start or as the rest of another one. Other answers with a success status were checked for the seal; streams were not.

forwardStream now ends the attempt as Broken before anything is forwarded.

TestStreamWithoutSeal failed before:

got {status:200 body:id: 1 ...}, want status 502

--- a/relay/request.go
+++ b/relay/request.go
@@ -363,6 +363,9 @@
 	}
 }
 
+// causeUnsealed is the cause of a failed attempt: a success lacks the endpoint's signature.
+const causeUnsealed = "answer without a seal"
+
 // isStream reports whether an answer is a stream of events.
 func isStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
@@ -398,9 +401,8 @@
 		outcome.Err = "another answer inside a stream"
 		return outcome
 	case answer.Status < http.StatusMultipleChoices && !reply.Sealed:
-		// The seal is the endpoint's signature of the answer.
 		outcome.Result = edge.Broken
-		outcome.Err = "answer without a seal"
+		outcome.Err = causeUnsealed
 		return outcome
 	}
 	p.relay.postEvent(edge.AnswerStarted{
@@ -460,6 +462,13 @@
 			Err:    "stream inside another answer",
 		}
 	}
+	if !p.relay.codec.ParseReply(answer.Status, answer.Header).Sealed {
+		return edge.AttemptEnded{
+			Result: edge.Broken,
+			Status: answer.Status,
+			Err:    causeUnsealed,
+		}
+	}
 	p.events.DiscardPartial()
 	buffer := make([]byte, copyBufferBytes)
 	started := false
