io/origin: events that are out of order are not forwarded

Where a stream broke off and the next endpoint started over, or went on elsewhere than it was asked to, callers got events twice, or one was missing, and the stream ended as complete. The same happened to callers that resumed a stream themselves.

The cause: what a resumed endpoint sends was not compared with the last event.

IDs that are numbers now have to increase, from the one that the endpoint was asked to go on after. If at least two IDs have been one more than the one before, and none another, they count the events, and the first one after an interruption must be the next; larger steps within an endpoint's stream are allowed. The attempt ends as Broken before the first event that does not follow; the request is sent again or its connection closed.

--- a/io/origin/events.go
+++ b/io/origin/events.go
@@ -2,10 +2,17 @@
 
 import (
 	"bytes"
+	"strconv"
 )
 
-// maxEventBytes limits the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes limits the size of one event.
+	maxEventBytes = 1 << 20
+
+	// minSteps is the number of IDs without a gap after which they are taken to count
+	// the events.
+	minSteps = 2
+)
 
 // EventSplitter splits a stream of server-sent events into complete events. The
 // zero value is ready for the start of a stream.
@@ -15,12 +22,20 @@
 	Count  int
 	LastID string
 
+	// OutOfOrder is set once an event came that does not follow the last one; neither
+	// it nor any event after it is returned.
+	OutOfOrder bool
+
 	partial []byte
+	order   eventOrder
 }
 
 // Feed appends b to the stream and returns the events that are complete now, in
 // order; it buffers the rest. It returns false if an event is too long.
 func (s *EventSplitter) Feed(b []byte) ([]byte, bool) {
+	if s.OutOfOrder {
+		return nil, true
+	}
 	s.partial = append(s.partial, b...)
 	end := 0
 	for {
@@ -28,7 +43,11 @@
 		if n < 0 {
 			break
 		}
-		s.recordEvent(s.partial[end : end+n])
+		if !s.recordEvent(s.partial[end : end+n]) {
+			s.OutOfOrder = true
+			s.partial = s.partial[:end]
+			break
+		}
 		end += n
 	}
 	if len(s.partial)-end > maxEventBytes {
@@ -44,10 +63,13 @@
 	return len(s.partial) > 0
 }
 
-// DiscardPartial discards the incomplete event at the end of an interrupted
-// stream.
-func (s *EventSplitter) DiscardPartial() {
+// Restart prepares for a stream that goes on after the event with an ID, or from its
+// start if the ID is empty. It discards the incomplete event at the end of an
+// interrupted stream.
+func (s *EventSplitter) Restart(after string) {
 	s.partial = nil
+	s.OutOfOrder = false
+	s.order.restart(after)
 }
 
 // eventEnd returns the length of the first event including its empty line, or
@@ -62,22 +84,83 @@
 	return end
 }
 
-// recordEvent counts an event and records its ID.
-func (s *EventSplitter) recordEvent(event []byte) {
-	counted := false
+// recordEvent counts an event and records its ID. It returns false if the event does
+// not follow the last one.
+func (s *EventSplitter) recordEvent(event []byte) bool {
+	id, hasID, counted := "", false, false
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
-			s.LastID = string(value)
-			counted = true
+			id, hasID, counted = string(value), true, true
 		case "data":
 			counted = true
 		}
 	}
+	if hasID {
+		if !s.order.accept(id) {
+			return false
+		}
+		s.LastID = id
+	}
 	if counted {
 		s.Count++
 	}
+	return true
+}
+
+// eventOrder checks that IDs that are numbers increase, and that a stream goes on without
+// a gap where it was interrupted if its IDs count the events.
+type eventOrder struct {
+	// last is the last ID; known is set if it is a number.
+	last  uint64
+	known bool
+
+	// steps is the number of IDs that were one more than the one before; gaps is set once
+	// there was another one.
+	steps int
+	gaps  bool
+
+	// resumed is set until the first ID after an interruption.
+	resumed bool
+}
+
+// restart prepares for the IDs that follow one; it is empty at the start of a stream.
+func (o *eventOrder) restart(after string) {
+	o.resumed = true
+	if o.known {
+		return
+	}
+	if n, err := strconv.ParseUint(after, 10, 64); err == nil {
+		o.last = n
+		o.known = true
+	}
+}
+
+// accept records an ID and returns false if it does not follow the last one.
+func (o *eventOrder) accept(id string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	if err != nil {
+		o.known = false
+		o.gaps = true
+		return true
+	}
+	next := n == 1
+	if o.known {
+		next = n-o.last == 1
+		if n <= o.last || o.resumed && !next && !o.gaps && o.steps >= minSteps {
+			return false
+		}
+	}
+	if next {
+		o.steps++
+	} else {
+		o.gaps = true
+	}
+	o.last = n
+	o.known = true
+	o.resumed = false
+	return true
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -469,7 +469,7 @@
 			Err:    causeUnsealed,
 		}
 	}
-	p.events.DiscardPartial()
+	p.events.Restart(d.Params.Offset)
 	buffer := make([]byte, copyBufferBytes)
 	started := false
 	for {
@@ -498,6 +498,13 @@
 					}
 				}
 			}
+			if p.events.OutOfOrder {
+				return edge.AttemptEnded{
+					Result: edge.Broken,
+					Status: answer.Status,
+					Err:    "event out of order",
+				}
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && p.events.Pending():
