--- a/relay/silence_test.go
+++ b/relay/silence_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -145,24 +144,16 @@
 // TestConfigurationChangeUnderWay guards against answers that are cut because a new
 // configuration drops their route and service, or shortens their times.
 func TestConfigurationChangeUnderWay(t *testing.T) {
-	for name, change := range map[string]func(map[string]any){
-		"no routes":      func(c map[string]any) { c["Routes"] = []any{} },
-		"no services":    func(c map[string]any) { c["Services"] = []any{} },
-		"no accounts":    func(c map[string]any) { c["Tenants"] = []any{} },
-		"shorter routes": shortenRoutes,
+	whole := standin.Configuration(2, testAccount)
+	for name, text := range map[string][]byte{
+		"no routes":      standin.Without(whole, standin.Routes),
+		"no services":    standin.Without(whole, standin.Services),
+		"no accounts":    standin.Without(whole, standin.Accounts),
+		"shorter routes": standin.Shortened(whole),
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(t, 1, testAccount)
 			f.slowEvents()
-			var c map[string]any
-			if err := json.Unmarshal(standin.Configuration(2, testAccount), &c); err != nil {
-				t.Fatal(err)
-			}
-			change(c)
-			text, err := json.Marshal(c)
-			if err != nil {
-				t.Fatal(err)
-			}
 			answers := f.callAll("advice", 40, 200*time.Millisecond, func() {})
 			f.checkWhole(answers, wholeStream)
 			done := make(chan answer, 40)
@@ -183,14 +174,3 @@
 		})
 	}
 }
-
-// shortenRoutes shortens the times of all routes.
-func shortenRoutes(c map[string]any) {
-	for _, r := range c["Routes"].([]any) {
-		route := r.(map[string]any)
-		route["TimeoutMs"] = 300
-		route["SloMs"] = 20
-		route["ItlTargetMs"] = 20
-		route["MaxAttempts"] = 1
-	}
-}
