core/edge, relay, platform: endpoints that say in an answer that they leave get nothing new

Callers' requests went on to endpoints whose answers said that they leave, as long as the store listed them as ready or could not be read.

Nothing read the header. Now the relay reports it with the instance that the request was sent to, also if the request has ended meanwhile, and the router excludes that instance at once. The store doesn't have the word, so no revision ends it: it ends when another instance is listed under the name, and it outlives an entry that is removed and comes back. An answer that is misdirected is another endpoint's and doesn't count; values other than 1 are logged and ignored. If all endpoints of a service leave, requests are refused as not run, as with other departures.

TestLeavingAnswerOverConnections failed before:

63 of 120 requests reached engine-0 after it said that it leaves

With the new predicate alone taken out, TestAnnouncedEndpoint and TestAnnouncementsOverFleet (8 and 72 routers, notices lost or not) fail as well.

--- a/core/edge/departure.go
+++ b/core/edge/departure.go
@@ -17,9 +17,9 @@
 	maxDepartures = 64
 )
 
-// Departure is an endpoint that leaves or has left according to the store.
-// Routers report departures to each other, because the store's update can be
-// delayed at one of them.
+// Departure is an endpoint that leaves or has left according to the store, or that leaves
+// by its own account. Routers report departures to each other, because the store's update
+// can be delayed at one of them, and not all get an answer of the endpoint.
 type Departure struct {
 	// Endpoint is the leaving endpoint.
 	Endpoint waxwingwall.Endpoint
@@ -27,6 +27,12 @@
 	// Revision is the store's revision of the departure. The store's state at this
 	// revision or later takes precedence.
 	Revision int64
+
+	// Announced is set if the endpoint's instance that was started at Born said in an
+	// answer that it leaves. Then there is no Revision: no state of the store takes
+	// precedence, except that another instance is listed.
+	Announced bool
+	Born      int64
 }
 
 // departures are the recent departures.
@@ -93,6 +99,10 @@
 // handleDepartures applies the departures reported by a peer.
 func (e *Edge) handleDepartures(reported []Departure) {
 	for _, d := range reported {
+		if d.Announced {
+			e.mergeAnnouncement(d)
+			continue
+		}
 		if d.Revision <= e.endpoints.revision || !e.departures.add(e.now, d) {
 			continue
 		}
--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -29,6 +29,9 @@
 	// are available.
 	Backoff time.Duration `json:"avoid"`
 
+	// Announced is set if the endpoint said in an answer that it leaves.
+	Announced bool `json:"announced"`
+
 	// Missing is set while the endpoint's entry is missing after an outage of the
 	// store and may still reappear.
 	Missing bool `json:"returns"`
@@ -97,6 +100,7 @@
 				FailureRate:  row.failureRate,
 				Slowdown:     row.slowdown,
 				Backoff:      max(row.backoffUntil.Sub(now), 0),
+				Announced:    row.announced,
 				Missing:      !row.missingSince.IsZero(),
 			})
 		}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -132,6 +132,8 @@
 	link         link
 	departures   departures
 
+	announcements announcements
+
 	// notices are the draws of other routers, for the return of the store from a copy.
 	notices escrow.Notices
 
@@ -235,6 +237,8 @@
 		e.handleArrived(ev)
 	case HeadReceived:
 		e.handleHeadReceived(ev)
+	case NoticeReceived:
+		e.handleNotice(ev)
 	case AnswerStarted:
 		e.handleAnswerStarted(ev)
 	case AttemptStalled:
@@ -281,6 +285,7 @@
 	e.countCrashes()
 	e.crashes.expire(e.now)
 	e.notices.Expire(e.now)
+	e.expireNotices()
 	e.removeMissing()
 	e.logOverdue()
 	e.drainStep()
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -49,6 +49,9 @@
 	// as new.
 	departRevision int64
 
+	// announced is set if this instance said in an answer that it leaves.
+	announced bool
+
 	// failures counts consecutive failures of connections; until backoffUntil, the
 	// endpoint is avoided while others are available.
 	failures     int
@@ -187,12 +190,14 @@
 	t := &e.endpoints
 	old := t.rows[r.Endpoint]
 	if old == nil {
-		t.add(&endpoint{
+		row := &endpoint{
 			replica:   r,
 			firstSeen: e.now,
 			slowdown:  1,
 			parts:     map[uint64]time.Time{},
-		})
+		}
+		t.add(row)
+		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.log("endpoint_listed", "",
 			field("endpoint", r.Endpoint), field("service", r.Service), field("leaving", r.Leaving),
@@ -214,6 +219,7 @@
 		old.failureRate = 0
 		old.failures = 0
 		old.backoffUntil = time.Time{}
+		old.announced = false
 		e.limits.Forget(r.Endpoint)
 	}
 	moved := old.replica.Service != r.Service
@@ -222,6 +228,7 @@
 		e.limits.Forget(r.Endpoint)
 	}
 	old.replica = r
+	e.applyNotices(old)
 	if moved {
 		t.add(old)
 	}
@@ -250,6 +257,7 @@
 func (e *Edge) removeEndpoint(row *endpoint, from string) {
 	e.endpoints.remove(row)
 	e.limits.Forget(row.replica.Endpoint)
+	e.forgetNotices(row.replica)
 	delete(e.endpoints.rows, row.replica.Endpoint)
 	e.crashes.addressChanged(e.now, row.replica.Address)
 	e.log("endpoint_gone", "",
@@ -298,7 +306,7 @@
 
 // usable reports whether an endpoint may receive new requests.
 func (r *endpoint) usable() bool {
-	return !r.replica.Leaving && r.departRevision == 0
+	return !r.replica.Leaving && r.departRevision == 0 && !r.announced
 }
 
 // listed reports whether a usable endpoint has an entry in the store. A missing
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -80,6 +80,19 @@
 	Limit waxwingwall.RateLimit
 }
 
+// NoticeReceived is the event of the header of an answer that says something of the
+// endpoint itself. It does not depend on the request, which may have ended.
+type NoticeReceived struct {
+	effect.IsEvent
+
+	// Endpoint and Born are those of the Dispatch.
+	Endpoint waxwingwall.Endpoint
+	Born     int64
+
+	// Leaving is set if the endpoint says that it leaves.
+	Leaving bool
+}
+
 // AttemptEnded is the event of the end of an attempt.
 type AttemptEnded struct {
 	effect.IsEvent
@@ -197,8 +210,9 @@
 	// Rank is the rank of the request.
 	Rank waxwingwall.Rank
 
-	// Address is the address of the endpoint.
+	// Address is the address of the endpoint, Born identifies its instance.
 	Address netip.AddrPort
+	Born    int64
 
 	// Params are the values added to the forwarded request.
 	Params waxwingwall.ForwardParams
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -168,7 +168,7 @@
 		Version:        e.config.version,
 		Revision:       e.endpoints.revision,
 		EndpointsStale: e.endpointsStale(),
-		Departures:     e.departures.list(e.now),
+		Departures:     append(e.announcements.list(e.now), e.departures.list(e.now)...),
 		Reads:          e.gossip.pendingReads,
 		Suspects:       e.crashes.parts.List(e.now),
 	}
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -122,6 +122,11 @@
 	// life; arrivals are all requests that reached the endpoint.
 	informed map[[2]int]time.Time
 	arrivals []limitArrival
+
+	// leavingAt is the time from which it says in its answers that it leaves; zero if it
+	// doesn't. told is when a router first got such an answer, by router and life.
+	leavingAt time.Time
+	told      map[[2]int]time.Time
 }
 
 type namedFrom struct {
@@ -180,6 +185,7 @@
 		engine := &limitEngine{
 			replica:  r,
 			informed: map[[2]int]time.Time{},
+			told:     map[[2]int]time.Time{},
 		}
 		m.engines = append(m.engines, engine)
 		m.byAddr[r.Address] = engine
@@ -493,6 +499,12 @@
 			if l.Named || d.Limited {
 				m.feedLife(i, life, HeadReceived{Request: d.Request, Attempt: d.Attempt, Limit: l})
 			}
+			if !engine.leavingAt.IsZero() && !m.now.Before(engine.leavingAt) {
+				if _, ok := engine.told[[2]int{i, life}]; !ok {
+					engine.told[[2]int{i, life}] = m.now
+				}
+				m.feedLife(i, life, NoticeReceived{Endpoint: d.Params.Endpoint, Born: d.Born, Leaving: true})
+			}
 			m.feedLife(i, life, AnswerStarted{Request: d.Request, Attempt: d.Attempt})
 			m.after(limitRunTime, func() {
 				if r := m.routers[i]; r.life == life && !r.down {
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -179,6 +179,7 @@
 		Attempt: r.attempt,
 		Rank:    r.rank,
 		Address: c.endpoint.replica.Address,
+		Born:    c.endpoint.replica.Born,
 		Params: waxwingwall.ForwardParams{
 			Endpoint: c.endpoint.replica.Endpoint,
 			Timeout:  remaining,
--- a/proxy.go
+++ b/proxy.go
@@ -261,6 +261,11 @@
 	// that can't be read, empty otherwise.
 	Limit        RateLimit
 	InvalidLimit string
+
+	// Leaving is set if the endpoint says that it leaves and takes nothing new;
+	// InvalidLeaving is the text if it can't be read, empty otherwise.
+	Leaving        bool
+	InvalidLeaving string
 }
 
 // RateLimit is the number of requests that an endpoint takes in a second from all
--- a/relay/request.go
+++ b/relay/request.go
@@ -43,6 +43,9 @@
 	// busyRetryAfter is the retry delay for callers while no memory for a body is free.
 	busyRetryAfter = 500 * time.Millisecond
 
+	// maxLoggedText is the number of bytes of an endpoint's text that are logged.
+	maxLoggedText = 64
+
 	// actionQueueSize is the capacity of a request's queue of actions. The control
 	// goroutine never queues more, so it does not block.
 	actionQueueSize = 8
@@ -305,6 +308,7 @@
 	}
 	defer answer.Close()
 	p.reportLimit(d, answer)
+	p.reportNotice(d, answer)
 	if d.Stream && answer.Status == http.StatusOK && isStream(answer.Header) {
 		return p.forwardStream(d, answer)
 	}
@@ -346,6 +350,28 @@
 	}
 }
 
+// reportNotice reports what an endpoint says of itself in the header of an answer.
+func (p *proxyRequest) reportNotice(d edge.Dispatch, answer *origin.Answer) {
+	reply := p.relay.codec.ParseReply(answer.Status, answer.Header)
+	log := p.relay.log.WithField("endpoint", string(d.Params.Endpoint))
+	if reply.InvalidLeaving != "" {
+		log.WithField("leaving", shortened(reply.InvalidLeaving)).Warning("leaving_unreadable")
+	}
+	if !reply.Leaving {
+		return
+	}
+	p.relay.postEvent(edge.NoticeReceived{
+		Endpoint: d.Params.Endpoint,
+		Born:     d.Born,
+		Leaving:  reply.Leaving,
+	})
+}
+
+// shortened returns the start of a text that an endpoint wrote, for the log.
+func shortened(text string) string {
+	return text[:min(len(text), maxLoggedText)]
+}
+
 // failedAttempt returns the result of an attempt that failed with err.
 func failedAttempt(err error) edge.AttemptEnded {
 	result := edge.Broken
