core/edge, relay, platform, io/origin: endpoints that ask for a pause get nothing until its end

An endpoint that declined a request and named a Retry-After got requests within that time; if all endpoints of a service did, callers were told to come back after 0.2 to 0.3 s and their requests went to the endpoints each time.

Nothing read the header of an endpoint's 503. A declined attempt only raised the endpoint's cost, which excludes nothing. Now such an instance is excluded at the router that it told, by the predicate that all choices share: new requests, retries, resumed streams, asks for permits and permits that are granted later (they are given back). A request that was dispatched and still waits for its connection isn't sent. The latest end of all answers applies, since those that come within a pause are to requests from before it, in no order. Another instance under the name starts without a pause. A 503 without the header is treated as before. What all endpoints decline is refused at once, as not run, with the end of the first pause plus the usual jitter, as endpoints_paused. Only a decimal number of seconds is read, up to 10 min; other texts are logged and ignored.

TestRetryAfterOverConnections failed before:

Retry-After "0.213", the shortest wait has 4.998683093s left

With the new predicate alone taken out, TestPausedEndpoint, TestRetriesDuringPauses, TestAllEndpointsPaused, TestPermitOfPausedEndpoint and TestPausesOverFleet (8 routers, all endpoints) fail; with the exclusion in asks taken out, TestPermitOfPausedEndpoint does.

--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -32,6 +32,9 @@
 	// Announced is set if the endpoint said in an answer that it leaves.
 	Announced bool `json:"announced"`
 
+	// Paused is the remaining time for which the endpoint asked to be sent nothing.
+	Paused time.Duration `json:"paused"`
+
 	// Missing is set while the endpoint's entry is missing after an outage of the
 	// store and may still reappear.
 	Missing bool `json:"returns"`
@@ -101,6 +104,7 @@
 				Slowdown:     row.slowdown,
 				Backoff:      max(row.backoffUntil.Sub(now), 0),
 				Announced:    row.announced,
+				Paused:       e.pauses.left(now, row.replica),
 				Missing:      !row.missingSince.IsZero(),
 			})
 		}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -133,6 +133,7 @@
 	departures   departures
 
 	announcements announcements
+	pauses        pauses
 
 	// notices are the draws of other routers, for the return of the store from a copy.
 	notices escrow.Notices
@@ -232,6 +233,7 @@
 // Step processes an event and returns the resulting actions.
 func (e *Edge) Step(now time.Time, ev effect.Event) []effect.Action {
 	e.now = now
+	e.endPauses()
 	switch ev := ev.(type) {
 	case Arrived:
 		e.handleArrived(ev)
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -52,6 +52,9 @@
 	// announced is set if this instance said in an answer that it leaves.
 	announced bool
 
+	// paused is set while this instance has asked this router for a pause.
+	paused bool
+
 	// failures counts consecutive failures of connections; until backoffUntil, the
 	// endpoint is avoided while others are available.
 	failures     int
@@ -304,9 +307,14 @@
 	}
 }
 
+// departing reports whether an endpoint takes no new requests from any router.
+func (r *endpoint) departing() bool {
+	return r.replica.Leaving || r.departRevision != 0 || r.announced
+}
+
 // usable reports whether an endpoint may receive new requests.
 func (r *endpoint) usable() bool {
-	return !r.replica.Leaving && r.departRevision == 0 && !r.announced
+	return !r.departing() && !r.paused
 }
 
 // listed reports whether a usable endpoint has an entry in the store. A missing
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -91,6 +91,10 @@
 
 	// Leaving is set if the endpoint says that it leaves.
 	Leaving bool
+
+	// RetryAfter is the time for which the endpoint, which declined the request, asks
+	// this router to send it nothing; zero if it doesn't.
+	RetryAfter time.Duration
 }
 
 // AttemptEnded is the event of the end of an attempt.
--- a/core/edge/leaving.go
+++ b/core/edge/leaving.go
@@ -55,6 +55,9 @@
 	if ev.Leaving {
 		e.handleAnnouncement(ev.Endpoint, ev.Born)
 	}
+	if ev.RetryAfter > 0 {
+		e.handlePause(ev.Endpoint, ev.Born, ev.RetryAfter)
+	}
 }
 
 // handleAnnouncement records an instance that said that it leaves, and notifies the
@@ -111,6 +114,7 @@
 // applyNotices applies what is known of the instance that is now listed.
 func (e *Edge) applyNotices(row *endpoint) {
 	row.announced = row.announced || e.announcements.announced(row.replica)
+	row.paused = e.pauses.paused(row.replica)
 }
 
 // forgetNotices forgets what is known of an endpoint that was removed, if its next
@@ -118,6 +122,7 @@
 func (e *Edge) forgetNotices(r waxwingwall.Replica) {
 	if r.Born == 0 {
 		delete(e.announcements.rows, r.Endpoint)
+		delete(e.pauses.rows, r.Endpoint)
 	}
 }
 
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -17,7 +17,7 @@
 	if row == nil {
 		return 0, false, false
 	}
-	return row.replica.Born, row.usable(), true
+	return row.replica.Born, !row.departing(), true
 }
 
 // updateLimiter passes the routers to the limiter.
@@ -114,7 +114,7 @@
 	}
 	for _, row := range e.endpoints.byService[r.service] {
 		id := row.replica.Endpoint
-		if row != c.endpoint && e.limits.Limited(id) && (r.tried[id] || e.now.Before(row.backoffUntil)) {
+		if row != c.endpoint && e.limits.Limited(id) && (r.tried[id] || !row.usable() || e.now.Before(row.backoffUntil)) {
 			ask.Exclude = append(ask.Exclude, id)
 		}
 	}
@@ -180,6 +180,10 @@
 		e.fail(r, Expired)
 		return
 	}
+	if p := e.pausedProblem(r); p != nil {
+		e.refuse(r, p)
+		return
+	}
 	p := e.unavailableProblem("endpoints_limited", "the endpoints take no more requests now", 0)
 	p.RetryAfter = r.retryAfter
 	e.refuse(r, p)
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -127,6 +127,43 @@
 	// doesn't. told is when a router first got such an answer, by router and life.
 	leavingAt time.Time
 	told      map[[2]int]time.Time
+
+	// pauses are the times in which it declines all requests and asks for a pause until
+	// their end.
+	pauses []modelPause
+}
+
+// modelPause is a time in which an endpoint declines requests. asked is when a router was
+// first asked, by router and life.
+type modelPause struct {
+	from, until time.Time
+	asked       map[[2]int]time.Time
+}
+
+// pause makes an endpoint decline all requests for a time.
+func (m *limitModel) pause(engine int, d time.Duration) {
+	e := m.engines[engine]
+	e.pauses = append(e.pauses, modelPause{
+		from:  m.now,
+		until: m.now.Add(d),
+		asked: map[[2]int]time.Time{},
+	})
+}
+
+// declined makes an endpoint that asks for a pause answer; it returns false if it doesn't.
+func (m *limitModel) declined(i, life int, d Dispatch) bool {
+	for _, p := range m.byAddr[d.Address].pauses {
+		if m.now.Before(p.from) || !m.now.Before(p.until) {
+			continue
+		}
+		if _, ok := p.asked[[2]int{i, life}]; !ok {
+			p.asked[[2]int{i, life}] = m.now
+		}
+		m.feedLife(i, life, NoticeReceived{Endpoint: d.Params.Endpoint, Born: d.Born, RetryAfter: p.until.Sub(m.now)})
+		m.feedLife(i, life, AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: Declined, Status: 503})
+		return true
+	}
+	return false
 }
 
 type namedFrom struct {
@@ -499,6 +536,9 @@
 			if l.Named || d.Limited {
 				m.feedLife(i, life, HeadReceived{Request: d.Request, Attempt: d.Attempt, Limit: l})
 			}
+			if m.declined(i, life, d) {
+				return
+			}
 			if !engine.leavingAt.IsZero() && !m.now.Before(engine.leavingAt) {
 				if _, ok := engine.told[[2]int{i, life}]; !ok {
 					engine.told[[2]int{i, life}] = m.now
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -412,6 +412,10 @@
 		return
 	}
 	if !r.mayHaveRun() {
+		if p := e.pausedProblem(r); p != nil {
+			e.refuse(r, p)
+			return
+		}
 		code, message := "no_endpoint", "no endpoint can run the request now"
 		if result == DeadlineExceeded {
 			code, message = "too_late", "no endpoint was free in time"
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -80,7 +80,8 @@
 	// ErrUnreachable means that nothing was sent.
 	ErrUnreachable = errors.New("endpoint unreachable")
 
-	// ErrExpired means that Request.SendBy passed before anything was sent.
+	// ErrExpired means that Request.SendBy passed, or Request.Withhold applied, before
+	// anything was sent.
 	ErrExpired = errors.New("endpoint connected too late")
 
 	// ErrIdleTimeout means that nothing arrived within the time limit.
@@ -118,6 +119,10 @@
 	// SendBy is the time until which the request may be sent; zero if there is no limit.
 	SendBy time.Time
 
+	// Withhold, unless it is nil, is asked once there is a connection whether the request
+	// must not be sent any more.
+	Withhold func() bool
+
 	// ID identifies the request. A request is not sent on a connection on which one
 	// with the same ID was answered with a failure; empty if nothing identifies it.
 	ID string
@@ -240,7 +245,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !r.SendBy.IsZero() && time.Now().After(r.SendBy) {
+	if !r.SendBy.IsZero() && time.Now().After(r.SendBy) || r.Withhold != nil && r.Withhold() {
 		if c.expires.IsZero() {
 			c.expires = time.Now().Add(preconnectTTL)
 		}
--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -250,6 +250,27 @@
 	}
 }
 
+// TestWithhold guards against a request that is sent over a connection which was made while
+// its endpoint was excluded.
+func TestWithhold(t *testing.T) {
+	e := newEndpoint(t, answer("2", "two"))
+	p, stop := New()
+	defer stop()
+	r := e.request("1")
+	r.Withhold = func() bool { return p.Dials() > 0 }
+	if _, err := readBody(p, r); !errors.Is(err, ErrExpired) {
+		t.Errorf("got %v, want ErrExpired", err)
+	}
+	r = e.request("2")
+	r.Withhold = func() bool { return false }
+	if text, err := readBody(p, r); text != "two" || err != nil {
+		t.Errorf("got %q, %v", text, err)
+	}
+	if len(e.seen) != 1 {
+		t.Errorf("%d requests sent, want one", len(e.seen))
+	}
+}
+
 // TestKeepWaiting: a wait for the head or the body that was too long is prolonged as
 // long as KeepWaiting says so.
 func TestKeepWaiting(t *testing.T) {
--- a/proxy.go
+++ b/proxy.go
@@ -1,6 +1,7 @@
 package waxwingwall
 
 import (
+	"errors"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -266,6 +267,12 @@
 	// InvalidLeaving is the text if it can't be read, empty otherwise.
 	Leaving        bool
 	InvalidLeaving string
+
+	// RetryAfter is how long the endpoint, which is unavailable and did not run the
+	// request, asks to be sent nothing; InvalidRetryAfter is the text if it can't be
+	// read, empty otherwise.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
 }
 
 // RateLimit is the number of requests that an endpoint takes in a second from all
@@ -297,6 +304,22 @@
 	}, true
 }
 
+// MaxRetryAfter limits how long an endpoint can make a router wait.
+const MaxRetryAfter = 10 * time.Minute
+
+// ParseRetryAfter parses a decimal number of seconds, up to MaxRetryAfter. It reports false
+// for any other text, dates included.
+func ParseRetryAfter(text string) (time.Duration, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil && !errors.Is(err, strconv.ErrRange) {
+		return 0, false
+	}
+	return time.Duration(min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second)), true
+}
+
 // HeaderCodec converts between the headers of callers and endpoints and the
 // types of this package.
 type HeaderCodec interface {
--- a/relay/control.go
+++ b/relay/control.go
@@ -89,6 +89,7 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
+		withheld:     r.edge.Withheld(now),
 	})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,9 @@
 
 	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
 	endpointsAge time.Duration
+
+	// withheld are the instances to which nothing may be sent, see edge.Edge.Withheld.
+	withheld map[edge.Instance]time.Time
 }
 
 // job is work for the control goroutine: an event or a function to call.
--- a/relay/request.go
+++ b/relay/request.go
@@ -291,6 +291,7 @@
 		Body:          p.body,
 		DialTimeout:   d.DialTimeout,
 		SendBy:        d.SendBy,
+		Withhold:      func() bool { return p.relay.withholds(d) },
 		HeaderTimeout: d.FirstTimeout,
 		IdleTimeout:   d.IdleTimeout,
 		KeepWaiting:   func(idle time.Duration) time.Duration { return p.reportStalled(ctx, d, idle) },
@@ -357,14 +358,27 @@
 	if reply.InvalidLeaving != "" {
 		log.WithField("leaving", shortened(reply.InvalidLeaving)).Warning("leaving_unreadable")
 	}
-	if !reply.Leaving {
+	if reply.InvalidRetryAfter != "" {
+		log.WithField("retry_after", shortened(reply.InvalidRetryAfter)).Warning("retry_after_unreadable")
+	}
+	if !reply.Leaving && reply.RetryAfter == 0 {
 		return
 	}
 	p.relay.postEvent(edge.NoticeReceived{
+		Endpoint:   d.Params.Endpoint,
+		Born:       d.Born,
+		Leaving:    reply.Leaving,
+		RetryAfter: reply.RetryAfter,
+	})
+}
+
+// withholds reports whether nothing may be sent to the endpoint of a dispatch any more.
+func (r *Relay) withholds(d edge.Dispatch) bool {
+	until, ok := r.sharedState.Load().withheld[edge.Instance{
 		Endpoint: d.Params.Endpoint,
 		Born:     d.Born,
-		Leaving:  reply.Leaving,
-	})
+	}]
+	return ok && time.Now().Before(until)
 }
 
 // shortened returns the start of a text that an endpoint wrote, for the log.
