io/engine, io/service, router: the Retry-After of an unavailable endpoint reaches the scheduler

The time that an engine or a service names with a 503 is passed on with the end of the attempt. Nothing uses it yet. A text that is no number of seconds is logged.

--- a/core/events.go
+++ b/core/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"waxwingwall"
 	"waxwingwall/core/config"
@@ -62,6 +63,10 @@
 
 	// Body is the answer of a plain service.
 	Body string
+
+	// RetryAfter is the time for which the endpoint, which was unavailable, asks to be
+	// sent nothing; zero if it doesn't.
+	RetryAfter time.Duration
 }
 
 // CallerLeft reports that the caller no longer wants the answer.
--- a/core/request.go
+++ b/core/request.go
@@ -413,6 +413,8 @@
 		Attempt:  e.Attempt,
 		Tokens:   e.Output,
 		Failure:  e.Failure,
+
+		RetryAfter: e.RetryAfter,
 	}))
 }
 
--- a/core/sched/event.go
+++ b/core/sched/event.go
@@ -69,6 +69,10 @@
 
 	// Failure is None if the attempt completed.
 	Failure Failure
+
+	// RetryAfter is the time for which the endpoint, which was unavailable, asks to be
+	// sent nothing; zero if it doesn't.
+	RetryAfter time.Duration
 }
 
 // LoadReport is an endpoint's report of its load. It arrives with a delay.
--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -100,8 +100,9 @@
 	}
 	if answer.Status < http.StatusOK || answer.Status >= http.StatusMultipleChoices {
 		return waxwingwall.AttemptResult{
-			Failure: waxwingwall.FailureBroken,
-			Err:     fmt.Errorf("service answered with status %d", answer.Status),
+			Failure:    waxwingwall.FailureBroken,
+			RetryAfter: answer.RetryAfter,
+			Err:        fmt.Errorf("service answered with status %d", answer.Status),
 		}
 	}
 	return waxwingwall.AttemptResult{
@@ -129,6 +130,7 @@
 	if !errors.As(err, &failure) {
 		return res
 	}
+	res.RetryAfter = failure.RetryAfter
 	switch failure.Failure {
 	case endpoint.Declined:
 		res.Failure = waxwingwall.FailureDeclined
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -47,6 +47,15 @@
 	return url.PathEscape(string(i.Account)) + "/" + url.PathEscape(i.Key)
 }
 
+// RetryAfter returns the text of the time after which an unavailable endpoint may be asked
+// again (see waxwingwall.ParseRetryAfter); empty if the answer names none.
+func RetryAfter(res *http.Response) string {
+	if res.StatusCode != http.StatusServiceUnavailable {
+		return ""
+	}
+	return strings.TrimSpace(res.Header.Get("Retry-After"))
+}
+
 // Failure classifies how a run failed.
 type Failure string
 
@@ -81,6 +90,10 @@
 	// Tokens is the number of tokens forwarded before the failure.
 	Tokens int
 
+	// RetryAfter is the text of the time that the endpoint named as it was unavailable,
+	// see RetryAfter; empty if there is none.
+	RetryAfter string
+
 	// Err is the cause.
 	Err error
 }
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -262,7 +262,12 @@
 			f = endpoint.Declined
 		}
 	}
-	return newError(f, res.StatusCode, 0, fmt.Errorf("%s: %s", res.Status, bytes.TrimSpace(body)))
+	return trace.Wrap(&endpoint.Error{
+		Failure:    f,
+		Status:     res.StatusCode,
+		RetryAfter: endpoint.RetryAfter(res),
+		Err:        fmt.Errorf("%s: %s", res.Status, bytes.TrimSpace(body)),
+	})
 }
 
 func newRequest(ctx context.Context, call Call) (*http.Request, error) {
--- a/io/engine/limit_test.go
+++ b/io/engine/limit_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -46,3 +47,29 @@
 		t.Errorf("load report %+v, error %v", l, err)
 	}
 }
+
+// TestRetryAfter guards against waits that an unavailable engine names and that are
+// overlooked, and against those of other answers.
+func TestRetryAfter(t *testing.T) {
+	for status, want := range map[int]string{
+		http.StatusServiceUnavailable:  "2.5",
+		http.StatusTooManyRequests:     "",
+		http.StatusInternalServerError: "",
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", " 2.5")
+			w.WriteHeader(status)
+		}))
+		c, cleanup := New()
+		_, err := c.Stream(t.Context(), Call{
+			Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+			Attempt: "a",
+		}, func(Frame) error { return nil })
+		var failure *endpoint.Error
+		if !errors.As(err, &failure) || failure.RetryAfter != want || failure.Status != status {
+			t.Errorf("status %d: %+v", status, failure)
+		}
+		cleanup()
+		server.Close()
+	}
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -93,6 +93,10 @@
 
 	// Body is the body.
 	Body string
+
+	// RetryAfter is the text of the time that the service named as it was unavailable,
+	// see endpoint.RetryAfter; empty if there is none.
+	RetryAfter string
 }
 
 // request is the wire format of a call.
@@ -146,8 +150,9 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		return Answer{
-			Status: res.StatusCode,
-			Body:   string(body),
+			Status:     res.StatusCode,
+			Body:       string(body),
+			RetryAfter: endpoint.RetryAfter(res),
 		}, nil
 	}
 	var r response
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -19,6 +19,9 @@
 // the request at once; otherwise the attempt waits, until this timeout ends it.
 const attemptIdleTimeout = 30 * time.Second
 
+// maxLoggedText is the number of bytes of an endpoint's text that are logged.
+const maxLoggedText = 64
+
 // start starts an attempt on an endpoint.
 func (r *Router) start(a core.StartAttempt) {
 	rn := r.runs.get(a.Identity)
@@ -91,6 +94,8 @@
 		Failure:  failureOf(res.Failure),
 		Finish:   res.Finish,
 		Body:     res.Body,
+
+		RetryAfter: t.parseRetryAfter(res.RetryAfter),
 	})
 }
 
@@ -120,6 +125,19 @@
 	return limit, ok
 }
 
+// parseRetryAfter parses the time that an unavailable endpoint names; zero if it names
+// none.
+func (t *attempt) parseRetryAfter(text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	wait, ok := waxwingwall.ParseRetryAfter(text)
+	if !ok {
+		t.router.log.WithField("endpoint", t.start.Endpoint).WithField("retry_after", text[:min(len(text), maxLoggedText)]).Warn("retry_after_unreadable")
+	}
+	return wait
+}
+
 // emit appends one frame. It reports progress to the control goroutine on the
 // first frame and then at most once per progressInterval.
 func (t *attempt) emit(f waxwingwall.Frame) bool {
--- a/runner.go
+++ b/runner.go
@@ -69,6 +69,10 @@
 	// Body is the response body of a plain service.
 	Body string
 
+	// RetryAfter is the text of the time that the endpoint named as it was unavailable
+	// (see ParseRetryAfter); empty if there is none.
+	RetryAfter string
+
 	// Err is the cause of a failure, for logging.
 	Err error
 }
