core/sched: an endpoint that asks for a pause gets nothing until its end

An engine or service that answered 503 with a Retry-After got requests again as soon as its backoff was over; if all of a model asked for it, requests were queued and sent on.

The backoff, at most 5 s, was all that kept the scheduler away. Now the time that the endpoint names excludes it, by the predicate that placement, preemption and permits share. A request for which all endpoints are paused is refused at its offer, when its attempt is declined, and when it is found in a queue, with the end of the first pause and the usual jitter; as not run only if all its attempts were declined. A pause isn't ended by a longer or shorter answer to an attempt that ran beside it.

TestRanBeforePause is new; it guards the status of requests that may have run.

--- a/core/sched/offer.go
+++ b/core/sched/offer.go
@@ -38,6 +38,9 @@
 	if p != nil {
 		return refused(p)
 	}
+	if p := s.pausedProblem(now, j); p != nil {
+		return refused(p)
+	}
 	s.jobs[w.Identity] = j
 	j.flow.queue = append(j.flow.queue, j)
 	s.updateShares(now)
--- a/core/sched/pause_test.go
+++ b/core/sched/pause_test.go
@@ -78,6 +78,11 @@
 	if len(r.refusals) != 2*slots+2 {
 		t.Errorf("%d of %d are refused", len(r.refusals), 2*slots+2)
 	}
+	for _, a := range r.refusals {
+		if a.Problem.Outcome != waxwingwall.NotRun || a.Problem.RetryAfter < wait-time.Second {
+			t.Errorf("got %+v", a.Problem)
+		}
+	}
 	for r.now.Before(end) {
 		r.refusals = nil
 		v := r.offer("shop", 0)
@@ -96,3 +101,34 @@
 		t.Error("nothing is sent after the end")
 	}
 }
+
+// TestRanBeforePause guards against a refusal as not run, or with a status that says so, of
+// a request that may have run before all endpoints were paused.
+func TestRanBeforePause(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		r := newRig()
+		for len(r.dispatches) < 2*slots {
+			r.offer("shop", 2, func(w *sched.Work) { w.Idempotent = idempotent })
+		}
+		ran := r.dispatches[0]
+		for _, d := range r.dispatches[1 : 2*slots] {
+			r.decline(d, 40*time.Second)
+		}
+		r.finish(ran, sched.Broken)
+		r.advance(500 * time.Millisecond)
+		found := false
+		for _, a := range r.refusals {
+			if a.Identity != ran.Identity {
+				continue
+			}
+			found = true
+			p := a.Problem
+			if p.Outcome != waxwingwall.Unknown || p.Status != http.StatusBadGateway || (p.RetryAfter > 0) != idempotent {
+				t.Errorf("idempotent %v: got %+v", idempotent, p)
+			}
+		}
+		if !found {
+			t.Errorf("idempotent %v: held", idempotent)
+		}
+	}
+}
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -135,6 +135,10 @@
 	var acts []effect.Action
 	for i := len(f.queue) - 1; i >= 0; i-- {
 		j := f.queue[i]
+		if a, ok := s.refusePaused(now, j); ok {
+			acts = append(acts, a)
+			continue
+		}
 		if j.attempt > 0 {
 			if now.Sub(j.queuedAt) > maxSilence {
 				s.drop(j)
@@ -417,6 +421,9 @@
 		s.drop(j)
 		return acts
 	}
+	if ev.RetryAfter > 0 {
+		e.pause(now, ev.RetryAfter)
+	}
 	if ev.Failure != IdleTimeout || j.newConnection {
 		e.backOff(now)
 	}
@@ -463,6 +470,14 @@
 	s.releaseSlot(j)
 	s.sharesStale = true
 	s.demandUnsent = true
+	if f == Declined {
+		j.declined++
+	}
+	if !j.mayHaveRun() {
+		if a, ok := s.refusePaused(now, j); ok {
+			return []effect.Action{a}
+		}
+	}
 	if s.mayRetry(now, j) {
 		s.retries.Take()
 		j.failedEndpoint = e
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -42,6 +42,9 @@
 	backoffUntil time.Time
 	failures     int
 
+	// pausedUntil is the end of the last pause that the endpoint asked for.
+	pausedUntil time.Time
+
 	// lastSuspect is the last time at which the endpoint was known to run a
 	// suspect.
 	lastSuspect time.Time
@@ -70,7 +73,7 @@
 
 // usable reports whether the endpoint may get new work.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.removed && !e.spec.Leaving && !now.Before(e.backoffUntil)
+	return !e.removed && !e.spec.Leaving && !now.Before(e.backoffUntil) && !e.paused(now)
 }
 
 // pool is a set of endpoints with overlapping models, and the work for them.
@@ -167,6 +170,9 @@
 	// held is set while the driver has yet to send the request of the attempt.
 	held bool
 
+	// declined counts the attempts that the endpoints did not run.
+	declined int
+
 	// queuedAt is the time of the offer, or of the last failure or preemption.
 	queuedAt time.Time
 
