--- a/io/endpoint/dead_test.go
+++ b/io/endpoint/dead_test.go
@@ -24,7 +24,7 @@
 		userTimeout, keepAlive := 0, 0
 		ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
 			GotConn: func(info httptrace.GotConnInfo) {
-				raw, err := info.Conn.(syscall.Conn).SyscallConn()
+				raw, err := info.Conn.(*conn).Conn.(syscall.Conn).SyscallConn()
 				if err != nil {
 					t.Error(err)
 					return
