core/edge: find replaced routers without a scan of all rows

Each tick compared the rows of all routers with each other, and hashed the name of each dead one with that of every peer before the conditions that are quick to check. The newest incarnation of each VM is now kept with the rows, and the order of closing is computed once the delay that all have in common is over. No change of behaviour.

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,30 +56,42 @@
 	if dead.VM == e.Self.VM {
 		return true
 	}
-	ownHash := xxhash.Sum64String(dead.String() + string(e.Self.VM))
+	delay := silentCloseDelay
+	if e.isReplaced(dead, peers) {
+		delay = replacedCloseDelay
+	}
+	if e.now.Sub(n.deadSince) < delay || e.now.Sub(n.changedAt) < touchTTL {
+		return false
+	}
+	name := dead.String()
+	ownHash := xxhash.Sum64String(name + string(e.Self.VM))
 	earlier := 0
 	for _, p := range peers {
-		if p.Alive && xxhash.Sum64String(dead.String()+string(p.Incarnation.VM)) < ownHash {
+		if p.Alive && xxhash.Sum64String(name+string(p.Incarnation.VM)) < ownHash {
 			earlier++
 		}
 	}
-	delay := silentCloseDelay
-	if e.isReplaced(dead, peers) {
-		delay = replacedCloseDelay
-	}
-	return e.now.Sub(n.deadSince) >= delay+time.Duration(earlier)*closeStagger && e.now.Sub(n.changedAt) >= touchTTL
+	return e.now.Sub(n.deadSince) >= delay+time.Duration(earlier)*closeStagger
 }
 
 // isReplaced reports whether a newer incarnation of the same VM has started.
 func (e *Edge) isReplaced(i waxwingwall.Incarnation, peers []member.Peer) bool {
-	for other := range e.nodes.rows {
-		if other.VM == i.VM && other.Boot > i.Boot {
-			return true
-		}
+	if e.nodes.newest[i.VM] > i.Boot {
+		return true
 	}
-	return slices.ContainsFunc(peers, func(p member.Peer) bool {
-		return p.Incarnation.VM == i.VM && p.Incarnation.Boot > i.Boot
+	p, ok := findPeer(peers, i.VM)
+	return ok && p.Incarnation.Boot > i.Boot
+}
+
+// findPeer returns the peer of a VM; peers are sorted by VM.
+func findPeer(peers []member.Peer, vm waxwingwall.VM) (member.Peer, bool) {
+	at, ok := slices.BinarySearchFunc(peers, vm, func(p member.Peer, vm waxwingwall.VM) int {
+		return strings.Compare(string(p.Incarnation.VM), string(vm))
 	})
+	if !ok {
+		return member.Peer{}, false
+	}
+	return peers[at], true
 }
 
 // isDead reports whether an incarnation appears to be dead, or was replaced by
@@ -91,10 +104,8 @@
 	if e.isReplaced(i, peers) {
 		return true
 	}
-	for _, p := range peers {
-		if p.Incarnation == i {
-			return !p.Alive
-		}
+	if p, ok := findPeer(peers, i.VM); ok && p.Incarnation == i {
+		return !p.Alive
 	}
 	return e.now.Sub(e.nodes.rows[i].firstSeen) >= firstHeartbeatTimeout
 }
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -97,6 +97,9 @@
 type nodes struct {
 	rows map[waxwingwall.Incarnation]*node
 
+	// newest is the boot time of the newest incarnation of each VM in rows.
+	newest map[waxwingwall.VM]int64
+
 	// loaded is set once the table has been read, unavailable while it can't be
 	// read.
 	loaded, unavailable bool
@@ -189,6 +192,10 @@
 	for _, row := range ev.Rows {
 		e.updateNode(row)
 	}
+	t.newest = make(map[waxwingwall.VM]int64, len(t.rows))
+	for i := range t.rows {
+		t.newest[i.VM] = max(t.newest[i.VM], i.Boot)
+	}
 	e.limiterStale = true
 	e.updateMembers()
 	e.ensureNewest()
