core/edge: failing tests of streams that go on at another version

Endpoints of several software versions serve side by side in one service, and what two versions write doesn't fit together. The tests drive 1, 8, 72 and 340 routers, callers that take up interrupted streams at other routers, and endpoints of several versions: releases, restarts under the same ID, routers that are dead, restarted, frozen, cut from each other or new, names that nobody knows, and a single version, where nothing may be refused or wait.

The routers don't know versions yet; the tests need the new fields Replica.Version, Call.Resumes and AnswerStarted.Event to compile, which have no effect.

The model of limits passes changed rows of routers on in batches, as the store does.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -65,6 +65,10 @@
 	// Request and Attempt are those of the Dispatch.
 	Request uint64
 	Attempt int
+
+	// Event is set if the part is the first complete event of a stream; the event is
+	// not passed on to the caller before it is posted.
+	Event bool
 }
 
 // HeadReceived is the event of the header of an answer. It is needed only if the
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -32,7 +32,9 @@
 	// servedTokens is the cost of a complete answer: its prompt and three events.
 	servedTokens = 1_000 + 3*5
 
+	// slowTick times the number of routers is the time between slow ticks.
 	limitTick      = 50 * time.Millisecond
+	slowTick       = 700 * time.Microsecond
 	limitHeadDelay = 25 * time.Millisecond
 	limitRunTime   = 300 * time.Millisecond
 
@@ -75,9 +77,21 @@
 	// eraDelay is how much later than others a router notices a new era; nil means not.
 	eraDelay func(i int) time.Duration
 
+	// perform performs an action of a router itself if it returns true; nil means never.
+	// list returns what the store tells a router of the endpoints; nil means that nothing
+	// changes.
+	perform func(i, life int, a effect.Action) bool
+	list    func(i int, snapshot bool) Replicas
+
 	// requests are those in flight, by router and number.
 	requests map[[2]uint64]*limitRequest
 
+	// slowTicks is set if routers of a large fleet tick less often.
+	slowTicks bool
+
+	// changed are rows of routers to pass on.
+	changed []waxwingwall.Row
+
 	// sent counts the messages between routers.
 	sent int
 
@@ -99,12 +113,15 @@
 	stats      []*limitStats
 }
 
-// limitRouter is a router; down is set while it is stopped.
+// limitRouter is a router; down is set while it is stopped. A frozen router has no ticks;
+// a paused one does nothing at all, and gets the events of its backlog afterwards.
 type limitRouter struct {
-	edge   *Edge
-	down   bool
-	frozen bool
-	life   int
+	edge    *Edge
+	down    bool
+	frozen  bool
+	paused  bool
+	backlog []effect.Event
+	life    int
 
 	// era is the store's era that the router has noticed; no answer of a later one
 	// reaches it before.
@@ -194,7 +211,7 @@
 
 // newLimitModel returns running routers in front of engines. An account "metered" has
 // prepaid tokens.
-func newLimitModel(t *testing.T, seed uint64, routers, engineCount int) *limitModel {
+func newLimitModel(t *testing.T, seed uint64, routers, engineCount int, opts ...func(*limitModel)) *limitModel {
 	m := &limitModel{
 		t:         t,
 		random:    rand.New(rand.NewPCG(seed, 3)),
@@ -206,6 +223,9 @@
 		byAccount: map[string]*limitStats{},
 		config:    testConfiguration(1),
 	}
+	for _, o := range opts {
+		o(m)
+	}
 	m.now = m.start
 	m.config.Accounts = append(
 		m.config.Accounts,
@@ -275,7 +295,11 @@
 	for _, e := range m.engines {
 		all = append(all, e.replica)
 	}
-	m.feed(i, Replicas{Snapshot: true, Replicas: all, Revision: 10})
+	if m.list != nil {
+		m.feed(i, m.list(i, true))
+	} else {
+		m.feed(i, Replicas{Snapshot: true, Replicas: all, Revision: 10})
+	}
 	r.era = m.era
 	m.feed(i, StoreEra{MinVersion: m.era << 40, First: true})
 	m.feed(i, Nodes{Snapshot: true, Rows: m.nodeRows()})
@@ -284,13 +308,26 @@
 		if r.life != life || r.down {
 			return
 		}
-		if !r.frozen {
-			m.feed(i, Replicas{Revision: 10})
+		if !r.frozen && !r.paused {
+			if m.list != nil {
+				m.feed(i, m.list(i, false))
+			} else {
+				m.feed(i, Replicas{Revision: 10})
+			}
 			m.feed(i, effect.Tick{})
 		}
-		m.after(limitTick, tick)
+		m.after(m.tickEvery(), tick)
 	}
-	m.after(time.Duration(i)*limitTick/time.Duration(len(m.routers)), tick)
+	m.after(time.Duration(i)*m.tickEvery()/time.Duration(len(m.routers)), tick)
+}
+
+// tickEvery returns the time between two ticks of a router, which is longer in large
+// fleets to save time.
+func (m *limitModel) tickEvery() time.Duration {
+	if m.slowTicks {
+		return max(limitTick, time.Duration(len(m.routers))*slowTick)
+	}
+	return limitTick
 }
 
 func (m *limitModel) allRows() []waxwingwall.Row {
@@ -343,8 +380,15 @@
 	if r.down {
 		return
 	}
+	if r.paused {
+		r.backlog = append(r.backlog, ev)
+		return
+	}
 	life := r.life
 	for _, a := range r.edge.Step(m.now, ev) {
+		if m.perform != nil && m.perform(i, life, a) {
+			continue
+		}
 		switch a := a.(type) {
 		case effect.Send:
 			m.deliver(i, a)
@@ -427,14 +471,26 @@
 			}
 		}
 		m.after(peerDelay, func() { m.feedLife(i, life, result) })
-		for to := range m.routers {
-			if len(changed) > 0 {
-				m.after(peerDelay, func() { m.feed(to, Nodes{Rows: changed}) })
+		if len(changed) > 0 && len(m.changed) == 0 {
+			delay := peerDelay
+			if m.slowTicks {
+				delay = m.tickEvery() / 2
 			}
+			m.after(delay, m.passNodes)
 		}
+		m.changed = append(m.changed, changed...)
 	})
 }
 
+// passNodes passes changed rows of routers on.
+func (m *limitModel) passNodes() {
+	changed := m.changed
+	m.changed = nil
+	for to := range m.routers {
+		m.feed(to, Nodes{Rows: changed})
+	}
+}
+
 // read answers a read of the rows of keys, or of all matching rows.
 func (m *limitModel) read(i, life int, id effect.ID, match func(string) bool, keys []string) {
 	m.after(peerDelay, func() {
--- a/proxy.go
+++ b/proxy.go
@@ -51,6 +51,10 @@
 	// empty at the start of a stream.
 	Offset string
 
+	// Resumes is the ID of the caller's attempt that brought the first event of a
+	// resumed stream; empty if the caller names none.
+	Resumes string
+
 	// Fingerprint is a hash of path, key and body. It is the same for a repeated
 	// request.
 	Fingerprint uint64
@@ -207,6 +211,10 @@
 	// Service is the service that it runs.
 	Service Model
 
+	// Version is the version of its software, a text without an order. What two
+	// versions write into one stream doesn't fit together.
+	Version string
+
 	// Address is where it listens.
 	Address netip.AddrPort
 
