relay: the test of pauses measures from the endpoint's answer

TestRetryAfterOverConnections took the time after the router's answer as the time at which an endpoint named its wait, so under the race detector on a busy machine it asked for 4 ms more than was left:

Retry-After "1.988", the shortest wait has 1.99221977s left

The endpoint answers on arrival, which its stand-in records. The bounds are the same, and the window in which requests count begins earlier.

--- a/relay/pause_test.go
+++ b/relay/pause_test.go
@@ -46,8 +46,10 @@
 				f.call(n, "quote", "", 0, 0)
 				f.prompted(n, f.newParts())
 				for _, e := range paused {
-					if _, ok := asked[e]; !ok && arrivedAfter(e, start) > 0 {
-						asked[e] = time.Now()
+					// The endpoint answers at once.
+					i := slices.IndexFunc(e.Arrivals(), func(at time.Time) bool { return at.After(start) })
+					if i >= 0 {
+						asked[e] = e.Arrivals()[i]
 					}
 				}
 				return len(asked) == len(paused)
