waxwingwall: parse incarnations strictly

A row of the store with a key such as vm-1@, vm-1@+99 or vm-1@99x was taken for a newer incarnation of the router: it went on as the next one, whose number overflowed, and renewed itself with each update. Only the form that String returns is parsed now, with a boot time that leaves room for the next one.

Before: "vm@1x" was taken for {VM:vm Boot:1}.

--- a/waxwingwall.go
+++ b/waxwingwall.go
@@ -13,6 +13,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -64,16 +65,23 @@
 	return i == Incarnation{}
 }
 
+// maxBoot limits Incarnation.Boot, so that a next one can be given out.
+const maxBoot = 1 << 53
+
 // ParseIncarnation parses the form returned by String.
 func ParseIncarnation(s string) (Incarnation, error) {
 	at := strings.LastIndexByte(s, '@')
 	if at < 1 {
 		return Incarnation{}, fmt.Errorf("incarnation %q: want vm@boot", s)
 	}
-	var boot int64
-	if _, err := fmt.Sscanf(s[at+1:], "%d", &boot); err != nil {
+	text := s[at+1:]
+	boot, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
 		return Incarnation{}, fmt.Errorf("incarnation %q: boot time: %w", s, err)
 	}
+	if boot < 0 || boot > maxBoot || strconv.FormatInt(boot, 10) != text {
+		return Incarnation{}, fmt.Errorf("incarnation %q: invalid boot time", s)
+	}
 	return Incarnation{
 		VM:   VM(s[:at]),
 		Boot: boot,
