core/edge: reject odd rows of routers

A row without addresses, or with one that nothing can listen at, made a router call its peers there and name it to callers; a row with a long text made a log line of that size. Addresses, link speed, eras and names are now checked.

Before: router vm-3 is called at invalid AddrPort.

--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -54,6 +56,11 @@
 	// registerTimeout is the time after which a write of the router's own row
 	// without an answer is retried.
 	registerTimeout = 2 * time.Second
+
+	// The limits of a router's row, and of the part of a text that is logged.
+	maxNameBytes   = 256
+	maxLinkMbps    = 10_000_000
+	maxLoggedBytes = 160
 )
 
 // nodeRow is the content of the row of a router, encoded as JSON.
@@ -220,9 +227,9 @@
 		delete(t.rows, i)
 		return
 	}
-	var content nodeRow
-	if err := json.Unmarshal([]byte(row.Value), &content); err != nil {
-		e.log("node_unreadable", "", field("node", i.String()), field("version", row.Version), field("cause", err.Error()))
+	content, err := decodeNode(i, row.Value)
+	if err != nil {
+		e.log("node_unreadable", "", field("node", shortened(i.String())), field("version", row.Version), field("cause", shortened(err.Error())))
 		return
 	}
 	n := t.rows[i]
@@ -239,6 +246,39 @@
 	n.version = row.Version
 }
 
+// decodeNode decodes the row of a router. Another writer may have left anything there.
+func decodeNode(i waxwingwall.Incarnation, value string) (nodeRow, error) {
+	var content nodeRow
+	if err := json.Unmarshal([]byte(value), &content); err != nil {
+		return content, err
+	}
+	switch {
+	case len(i.VM) > maxNameBytes || len(content.Domain) > maxNameBytes:
+		return content, errors.New("a name is too long")
+	case !reachable(content.Peers) || !reachable(content.Callers):
+		return content, fmt.Errorf("invalid address: peers %v, callers %v", content.Peers, content.Callers)
+	case content.LinkMbps < 0 || content.LinkMbps > maxLinkMbps:
+		return content, fmt.Errorf("invalid link speed %d", content.LinkMbps)
+	case content.Era < 0 || content.PeersEra < 0:
+		return content, fmt.Errorf("invalid era: %d, %d", content.Era, content.PeersEra)
+	}
+	return content, nil
+}
+
+// reachable reports whether a connection can be made to an address.
+func reachable(a netip.AddrPort) bool {
+	ip := a.Addr().Unmap()
+	return a.IsValid() && a.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
+// shortened returns the start of a text, for a log line.
+func shortened(text string) string {
+	if len(text) <= maxLoggedBytes {
+		return text
+	}
+	return text[:maxLoggedBytes] + "..."
+}
+
 // incarnationOf parses the key of a node row.
 func incarnationOf(key string) (waxwingwall.Incarnation, bool) {
 	name, found := strings.CutPrefix(key, NodeTable+"/")
