core/escrow: reject rows that no router has written

Tokens were given out twice from a budget's row that another writer had left without its grants (null, {} or a part of the fields), sums of numbers near 2^63 overflowed, and lists out of order broke the searches in them. Rows are now checked when they are decoded, and missing fields are found; a budget with such a row gets nothing until it is mended, the others are served.

--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -1,8 +1,11 @@
 package escrow
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,8 +25,8 @@
 	// Total is from top-ups.
 	FundingVersion int64 `json:"paid,omitempty"`
 
-	// Returned is the sum of all shares ever returned; it never falls and never
-	// exceeds Granted.
+	// Returned is the sum of all shares ever returned; it never falls. It can exceed
+	// Granted only after the store came back from a copy without some draws.
 	Returned waxwingwall.Tokens `json:"returned"`
 
 	// Holders are the incarnations whose share rows may hold an unused part of
@@ -149,18 +152,100 @@
 	return string(text)
 }
 
-// Decode decodes the value of a row. An absent row decodes to the zero value.
+// Limits of the numbers in rows, so that sums of them can't overflow.
+const (
+	maxTokens = 1 << 50
+	maxSeq    = 1 << 53
+)
+
+// maxLoggedBytes limits the text of an error, which may hold parts of a row.
+const maxLoggedBytes = 160
+
+// Decode decodes the value of a row. An absent row decodes to the zero value. A row with
+// a content that no router writes is an error; it could give tokens out twice.
 func Decode[R BudgetRow | ShareRow | TopUpRow](row waxwingwall.Row) (R, error) {
 	var r R
 	if row.Version == 0 {
 		return r, nil
 	}
-	if err := json.Unmarshal([]byte(row.Value), &r); err != nil {
-		return r, fmt.Errorf("row %q: %w", row.Key, err)
+	if err := decode([]byte(row.Value), &r); err != nil {
+		text := err.Error()
+		return r, fmt.Errorf("row %q: %s", row.Key, text[:min(len(text), maxLoggedBytes)])
 	}
 	return r, nil
 }
 
+// decode decodes a row and checks it. The fields that each row has get an invalid value
+// first, so that missing ones are found.
+func decode(data []byte, into any) error {
+	switch r := into.(type) {
+	case *BudgetRow:
+		r.Total, r.Granted, r.Returned = -1, -1, -1
+	case *ShareRow:
+		r.Seq = math.MaxUint64
+	case *TopUpRow:
+		r.Tokens = -1
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return err
+	}
+	ok := false
+	switch r := into.(type) {
+	case *BudgetRow:
+		ok = r.valid()
+	case *ShareRow:
+		ok = r.valid()
+	case *TopUpRow:
+		ok = isCount(r.Tokens)
+	}
+	if !ok {
+		return errors.New("a field is missing or out of range")
+	}
+	return nil
+}
+
+// isCount reports whether n is a number of tokens that a row may hold.
+func isCount(n waxwingwall.Tokens) bool {
+	return n >= 0 && n <= maxTokens
+}
+
+// valid reports whether a router can have written the row.
+func (r *BudgetRow) valid() bool {
+	return isCount(r.Total) && isCount(r.Granted) && isCount(r.Returned) &&
+		r.FundingVersion >= 0 && ascending(r.Holders, func(i waxwingwall.Incarnation) waxwingwall.Incarnation { return i }, compare)
+}
+
+// valid reports whether a router can have written the row.
+func (r *ShareRow) valid() bool {
+	for _, e := range r.Entries {
+		if !e.valid() {
+			return false
+		}
+	}
+	return r.Seq <= maxSeq && ascending(r.Entries, func(e ShareEntry) waxwingwall.Budget { return e.Budget }, cmp.Compare)
+}
+
+// valid reports whether a router can have written the entry.
+func (e *ShareEntry) valid() bool {
+	for _, r := range e.Receipts {
+		if !isCount(r.Tokens) {
+			return false
+		}
+	}
+	return e.Granted >= -maxTokens && e.Granted <= maxTokens && e.Allowance >= -maxTokens && e.Allowance <= e.Granted &&
+		isCount(e.Sendable) && ascending(e.Receipts, func(r Receipt) waxwingwall.Incarnation { return r.Node }, compare)
+}
+
+// ascending reports whether the keys of a list are in strictly ascending order.
+func ascending[T, K any](list []T, key func(T) K, compare func(a, b K) int) bool {
+	for i := 1; i < len(list); i++ {
+		if compare(key(list[i-1]), key(list[i])) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // ShardOf returns the shard of a budget.
 func ShardOf(budget waxwingwall.Budget, shards int) int {
 	return int(xxhash.Sum64String(string(budget)) % uint64(shards))
