--- a/core/escrow/odd_test.go
+++ b/core/escrow/odd_test.go
@@ -112,3 +112,56 @@
 		})
 	}
 }
+
+// TestCloserPassesOddRows guards against shares of a dead router that are never returned
+// because another row of it, or of another budget, is odd.
+func TestCloserPassesOddRows(t *testing.T) {
+	for _, odd := range []string{"share row", "budget row"} {
+		t.Run(odd, func(t *testing.T) {
+			w := newWorld(1, 2)
+			n := w.nodes[0]
+			var budgets []waxwingwall.Budget
+			for i := range 12 {
+				b := waxwingwall.Budget(fmt.Sprint("budget-", i))
+				budgets = append(budgets, b)
+				w.topUp(b, "first", 1000)
+			}
+			w.run(100 * time.Millisecond)
+			for _, b := range budgets {
+				if kind := n.serve(b, 100); kind != Granted {
+					t.Fatalf("verdict %s", kind)
+				}
+				n.finish(0, 10)
+			}
+			w.run(time.Second)
+			first := budgets[0]
+			key := BudgetKey(first)
+			if odd == "share row" {
+				key = ShareKey(n.book.self, ShardOf(first, DefaultShards))
+			}
+			sound := w.rows[key]
+			w.rows[key] = waxwingwall.Row{Key: key, Version: sound.Version + 1, Value: `null`}
+			n.dead = true
+			c := w.close(n, false)
+			w.run(time.Minute)
+			for _, b := range budgets {
+				if odd == "share row" && ShardOf(b, DefaultShards) == ShardOf(first, DefaultShards) || b == first {
+					continue
+				}
+				entry := ShareEntry{}
+				if content, err := Decode[ShareRow](w.rows[ShareKey(n.book.self, ShardOf(b, DefaultShards))]); err == nil {
+					entry, _ = content.Find(b)
+				}
+				if entry.Granted != 0 {
+					t.Errorf("%s still has %d tokens of the dead router", b, entry.Granted)
+				}
+			}
+			sound.Version += 2
+			w.rows[key] = sound
+			w.run(time.Minute)
+			if !c.Done() {
+				t.Error("not closed after the row is mended")
+			}
+		})
+	}
+}
