core/escrow: close the sound rows of a dead router beside odd ones

The tokens that a dead router held stayed out of reach when one of its share rows, or the row of one budget, could not be read: the closing stopped there, and tried the same row again without end. It now goes on with the other rows and budgets, and comes back.

--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"slices"
 	"time"
 
 	"waxwingwall"
@@ -73,8 +74,12 @@
 	shards      int
 	seed        uint64
 
-	// The rows still to be closed, in order, and the state of the calls.
+	// The rows still to be closed, in order, and the state of the calls. postponed
+	// counts the rows in a row that could not be closed, skipped holds the budgets
+	// whose rows can't be read.
 	pending     []string
+	postponed   int
+	skipped     map[waxwingwall.Budget]bool
 	listed      bool
 	done        bool
 	step        closerStep
@@ -129,9 +134,10 @@
 // log does not contain can be dispatched later.
 func NewCloser(dead waxwingwall.Incarnation, logged []Spent, opts ...CloserOption) *Closer {
 	c := &Closer{
-		Dead:   dead,
-		logged: make(map[waxwingwall.Budget]waxwingwall.Tokens, len(logged)),
-		shards: DefaultShards,
+		Dead:    dead,
+		logged:  make(map[waxwingwall.Budget]waxwingwall.Tokens, len(logged)),
+		shards:  DefaultShards,
+		skipped: make(map[waxwingwall.Budget]bool),
 	}
 	for _, s := range logged {
 		c.logged[s.Budget] += s.Tokens
@@ -271,7 +277,7 @@
 func (c *Closer) readShare(now time.Time, rows []waxwingwall.Row) {
 	content, err := Decode[ShareRow](rows[0])
 	if err != nil {
-		c.backOff(now, defaultMaxBackoff)
+		c.postpone(now)
 		return
 	}
 	if content.Closed && (len(content.Entries) == 0 || content.ClosedBy == c.Dead) {
@@ -281,8 +287,13 @@
 	}
 	c.share = rows[0]
 	c.content = content
+	batch := c.batch()
+	if content.Closed && len(batch) == 0 {
+		c.postpone(now)
+		return
+	}
 	var keys []string
-	for _, e := range c.batch() {
+	for _, e := range batch {
 		keys = append(keys, BudgetKey(e.Budget))
 	}
 	if len(keys) == 0 {
@@ -296,6 +307,21 @@
 	})
 }
 
+// postpone continues with the next row: the current one, or a budget's row that it
+// needs, can't be read. After all rows had their turn it waits.
+func (c *Closer) postpone(now time.Time) {
+	c.step = readingShare
+	c.pending = append(c.pending[1:], c.pending[0])
+	c.postponed++
+	if c.postponed >= len(c.pending) {
+		c.postponed = 0
+		clear(c.skipped)
+		c.backOff(now, defaultMaxBackoff)
+		return
+	}
+	c.nextCall(now)
+}
+
 // batch returns the entries that the next transaction returns. An open row with
 // too many entries is only closed first, so that its owner is fenced
 // immediately.
@@ -303,14 +329,22 @@
 	if !c.content.Closed && len(c.content.Entries) > closerBatch {
 		return nil
 	}
-	return c.content.Entries[:min(closerBatch, len(c.content.Entries))]
+	var batch []ShareEntry
+	for _, e := range c.content.Entries {
+		if len(batch) < closerBatch && !c.skipped[e.Budget] {
+			batch = append(batch, e)
+		}
+	}
+	return batch
 }
 
 // write closes the share row and returns the tokens of the batch.
 func (c *Closer) write(now time.Time, budgets []waxwingwall.Row) {
 	batch := c.batch()
 	next := c.content
-	next.Entries = c.content.Entries[len(batch):]
+	next.Entries = slices.DeleteFunc(slices.Clone(next.Entries), func(e ShareEntry) bool {
+		return slices.ContainsFunc(batch, func(b ShareEntry) bool { return b.Budget == e.Budget })
+	})
 	if !next.Closed {
 		next.Closed = true
 		next.ClosedBy = c.closedBy
@@ -325,7 +359,9 @@
 		refund := c.refund(e)
 		row, err := Decode[BudgetRow](budgets[i])
 		if err != nil || budgets[i].Version == 0 {
-			c.backOff(now, defaultMaxBackoff)
+			c.skipped[e.Budget] = true
+			c.step = readingShare
+			c.nextCall(now)
 			return
 		}
 		row.Returned += refund
@@ -365,6 +401,7 @@
 	switch ev.Result {
 	case effect.Done:
 		c.failures = 0
+		c.postponed = 0
 		for _, share := range c.pendingShares {
 			c.Returned += share.Returned
 		}
