core/sched: drop messages of peers with numbers out of range

One message with a demand that is no number, negative or infinite, or with a load of 2^63-1, kept a router from running its own requests. Such a message is dropped and counted in the dump; its sender then counts as one that was not heard.

--- a/core/sched/demand.go
+++ b/core/sched/demand.go
@@ -25,6 +25,10 @@
 	// full rate.
 	fullRatePeers = 8
 
+	// maxDemandSlots and maxFlows limit what a Demand may hold.
+	maxDemandSlots = 1_000_000
+	maxFlows       = 1 << 16
+
 	// contendedUtilization is the utilization of a pool above which routers
 	// send changes without waiting for maxDemandInterval.
 	contendedUtilization = 0.75
@@ -118,6 +122,10 @@
 	if !ok {
 		return
 	}
+	if !d.valid() {
+		s.rejected++
+		return
+	}
 	for _, n := range d.Suspects {
 		s.crashes.Merge(now, n)
 	}
@@ -135,6 +143,24 @@
 	}
 }
 
+// valid reports whether a router can have sent the message.
+func (d *Demand) valid() bool {
+	if len(d.Flows) > maxFlows || len(d.Loads) > maxFlows {
+		return false
+	}
+	for _, f := range d.Flows {
+		if !(f.Slots >= 0 && f.Slots <= maxDemandSlots) { // also if it is no number
+			return false
+		}
+	}
+	for _, l := range d.Loads {
+		if l.Requests < 0 || l.Requests > maxDemandSlots {
+			return false
+		}
+	}
+	return true
+}
+
 // updatePeerInFlight sums the peers' reported loads for each endpoint. A peer
 // that is not live is assumed to use an equal share of each.
 func (s *Scheduler) updatePeerInFlight(now time.Time) {
--- a/core/sched/dump.go
+++ b/core/sched/dump.go
@@ -18,6 +18,9 @@
 	Peers     int `json:"peers"`
 	LivePeers int `json:"peers_heard"`
 
+	// RejectedMessages counts the invalid messages of peers.
+	RejectedMessages int `json:"rejected_messages"`
+
 	// RetriesLeft is the remaining retry budget.
 	RetriesLeft float64 `json:"retries_left"`
 
@@ -80,9 +83,10 @@
 func (s *Scheduler) Dump() Dump {
 	now := s.now
 	d := Dump{
-		Peers:       len(s.peers),
-		RetriesLeft: s.retries.Left(),
-		Suspects:    s.crashes.Len(),
+		Peers:            len(s.peers),
+		RejectedMessages: s.rejected,
+		RetriesLeft:      s.retries.Left(),
+		Suspects:         s.crashes.Len(),
 	}
 	for _, p := range s.peers {
 		if p.live(now, s.intervalFactor()) {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -251,6 +251,9 @@
 	// routers is the number of registered routers; zero if unknown.
 	routers int
 
+	// rejected counts the invalid messages of peers.
+	rejected int
+
 	// pendingActions are returned by the next Step.
 	pendingActions []effect.Action
 
