core/edge: test of odd messages of peers, failing

panic: runtime error: index out of range [0] with length 0 waxwingwall/core/edge.chooseService version_too_large: configuration is in force after that of the store

--- a/core/edge/odd_test.go
+++ b/core/edge/odd_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"math"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/effect"
+	"waxwingwall/core/escrow"
+	"waxwingwall/core/quarantine"
 )
 
 // soundNode is the content of the row of another router.
@@ -91,3 +95,103 @@
 	text := i.String()
 	return text[:min(len(text), 50)]
 }
+
+// TestOddMessages guards against messages of a peer with values that no router means: they
+// must not crash this one, nor keep it from running requests.
+func TestOddMessages(t *testing.T) {
+	configuration := func(change func(*waxwingwall.Configuration)) News {
+		c := testConfiguration(2)
+		change(&c)
+		return News{Configuration: c}
+	}
+	replica := func(change func(*waxwingwall.Replica)) News {
+		all := append(engines(4), ledgers(3)...)
+		for i := range all {
+			change(&all[i])
+		}
+		return News{Replicas: all, Revision: 1 << 30}
+	}
+	loads := func(running int, tokens waxwingwall.Tokens) Report {
+		r := Report{Version: 1, Revision: 10}
+		for _, e := range append(engines(4), ledgers(3)...) {
+			r.Loads = append(r.Loads, EndpointLoad{Endpoint: e.Endpoint, Running: running, Prefill: tokens, Memory: tokens})
+		}
+		return r
+	}
+	reads := Report{Version: 1, Revision: 10}
+	for i := range 1_000_000 {
+		reads.Reads = append(reads.Reads, PartRead{Endpoint: "engine-0", Part: uint64(i)})
+	}
+	for name, message := range map[string]any{
+		"route without services": configuration(func(c *waxwingwall.Configuration) { c.Routes[1].Services = nil }),
+		"all without services": configuration(func(c *waxwingwall.Configuration) {
+			c.Routes = append(c.Routes[:0], waxwingwall.Route{Host: "a.example", Prefix: "/", Open: true})
+		}),
+		"negative weights":        configuration(func(c *waxwingwall.Configuration) { c.Routes[1].Services[0].Weight = math.MinInt }),
+		"no attempts":             configuration(func(c *waxwingwall.Configuration) { c.Routes[1].Attempts = 0 }),
+		"negative timeout":        configuration(func(c *waxwingwall.Configuration) { c.Routes[1].Timeout = math.MinInt64 }),
+		"timeout too large":       configuration(func(c *waxwingwall.Configuration) { c.Routes[1].Timeout = math.MaxInt64 }),
+		"pause too large":         configuration(func(c *waxwingwall.Configuration) { c.Routes[1].Pause = math.MaxInt64 }),
+		"negative body limit":     configuration(func(c *waxwingwall.Configuration) { c.Limits.BodyBytes = -1 }),
+		"negative slots":          configuration(func(c *waxwingwall.Configuration) { c.Services[0].Slots = math.MinInt }),
+		"prepaid too large":       configuration(func(c *waxwingwall.Configuration) { c.Accounts[0].Metered, c.Accounts[0].Prepaid = true, math.MaxInt64 }),
+		"version too large":       configuration(func(c *waxwingwall.Configuration) { c.Version = math.MaxInt64 }),
+		"report of that version":  Report{Version: math.MaxInt64, Revision: 10},
+		"report of that revision": Report{Version: 1, Revision: math.MaxInt64},
+		"negative report":         Report{Version: math.MinInt64, Revision: math.MinInt64},
+		"negative load":           loads(math.MinInt, math.MinInt64),
+		"load too large":          loads(math.MaxInt, math.MaxInt64),
+		"many reads":              reads,
+		"no address":              replica(func(r *waxwingwall.Replica) { r.Address = netip.AddrPort{} }),
+		"port 0":                  replica(func(r *waxwingwall.Replica) { r.Address = netip.AddrPortFrom(r.Address.Addr(), 0) }),
+		"no name":                 replica(func(r *waxwingwall.Replica) { r.Endpoint = "" }),
+		"negative slots there":    replica(func(r *waxwingwall.Replica) { r.Slots = math.MinInt }),
+		"revision too large":      News{Revision: math.MaxInt64},
+		"ask":                     AskNews{Version: math.MinInt64, Revision: math.MinInt64},
+		"notices":                 Crashes{Notices: []quarantine.Notice{{Fingerprint: 1, Crashes: math.MaxInt}, {Fingerprint: 1, Crashes: math.MinInt}}},
+		"departures":              Departures{Departures: []Departure{{}}},
+		"grants":                  escrow.GrantNotice{Shard: math.MinInt, Seq: math.MaxUint64, Changes: []escrow.GrantChange{{Budget: "shop", Tokens: math.MinInt64}}},
+		"grants of shard":         escrow.GrantNotice{Shard: math.MaxInt, After: math.MaxUint64, Changes: []escrow.GrantChange{{Tokens: math.MaxInt64}}},
+		"ask of a share":          escrow.AskShare{Budget: "shop", Want: math.MinInt64, Took: math.MinInt64, Draw: true, Lead: math.MaxInt64},
+		"pass of a share":         escrow.PassShare{Budget: "shop", Sent: math.MinInt64, Free: math.MaxInt64, Held: math.MinInt64},
+		"large pass of a share":   escrow.PassShare{Budget: "shop", Sent: math.MaxInt64, Free: math.MaxInt64, Held: math.MaxInt64},
+		"took of a share":         escrow.TookShare{Budget: "shop", Took: math.MaxInt64},
+		"no type":                 nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			for _, available := range []bool{true, false} {
+				if !available {
+					h.step(Replicas{Unavailable: true})
+				}
+				for range 5 {
+					h.step(effect.Received{From: waxwingwall.Incarnation{VM: "vm-2", Boot: 5}, Message: message})
+					h.advance(200 * time.Millisecond)
+				}
+			}
+			h.step(Replicas{Snapshot: true, Replicas: append(engines(4), ledgers(3)...), Revision: 1 << 35})
+			if v := h.edge.config.version; v != 1 {
+				t.Errorf("configuration %d is in force", v)
+			}
+			for i, route := range []string{"draft", "advice", "order", "quote"} {
+				c := call(route)
+				c.ID = fmt.Sprint(name, " before ", i)
+				if _, out := h.arrive(c); !has[Dispatch](out) {
+					t.Errorf("%s: not dispatched", route)
+				}
+			}
+			h.step(Configured{Configuration: testConfiguration(3)})
+			if v := h.edge.config.version; v != 3 {
+				t.Errorf("configuration %d is in force after that of the store", v)
+			}
+			for i, route := range []string{"draft", "advice", "order", "quote"} {
+				c := call(route)
+				c.ID = fmt.Sprint(name, i)
+				_, out := h.arrive(c)
+				if !has[Dispatch](out) {
+					t.Errorf("%s: not dispatched", route)
+				}
+			}
+		})
+	}
+}
