core/edge: drop messages of peers with values out of range

A configuration from a peer with a route without services crashed the router at the next request of that route; one of version 2^63-1 kept out all that the store gave later. News and reports are now checked when they arrive, as what the store gives is; the rest of a peer's list of endpoints holds.

Before: panic: runtime error: index out of range [0] with length 0, in chooseService.

--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -233,6 +233,10 @@
 func (e *Edge) handleMessage(ev effect.Received) {
 	switch m := ev.Message.(type) {
 	case Report:
+		if !m.valid() {
+			e.log("message_rejected", "", field("peer", shortened(ev.From.String())), field("message", "report"))
+			return
+		}
 		if e.gossip.reports == nil {
 			e.gossip.reports = map[waxwingwall.Incarnation]report{}
 		}
@@ -253,7 +257,7 @@
 	case AskNews:
 		e.answerAskNews(ev.From, m)
 	case News:
-		e.handleNews(m)
+		e.handleNews(ev.From, m)
 	case escrow.GrantNotice:
 		e.notices.Learn(e.now, ev.From, m)
 	case Crashes:
@@ -316,9 +320,14 @@
 }
 
 // handleNews applies newer state from a peer.
-func (e *Edge) handleNews(m News) {
+func (e *Edge) handleNews(from waxwingwall.Incarnation, m News) {
+	if err := m.check(); err != nil {
+		e.log("message_rejected", "", field("peer", shortened(from.String())), field("message", "news"), field("cause", shortened(err.Error())))
+		return
+	}
 	e.applyConfiguration(m.Configuration, "peer")
 	t := &e.endpoints
+	m.Replicas = validReplicas(m.Replicas)
 	if m.Revision > t.revision && (t.storeUnavailable || !t.complete) {
 		e.mergeReplicas(Replicas{
 			Snapshot: true,
