core/claim: reject slots rows with another number of slots

A row of the slots with none or fewer crashed every router that read it: its slots were looked up by the numbers of the previous row. A row is now accepted only with the number of slots of this fleet, and with epochs that leave room for the next one. The number had been that of whichever router created the row; all routers use the same.

Before: panic: runtime error: index out of range [0] with length 0, in replaceSlots.

--- a/core/claim/options.go
+++ b/core/claim/options.go
@@ -30,8 +30,8 @@
 // Option changes how a Ledger works.
 type Option func(*settings)
 
-// WithSlots sets the number of slots, which takes effect on the router that
-// creates the slots row.
+// WithSlots sets the number of slots, which is the same at all routers of a fleet. A slots
+// row with another number is ignored.
 func WithSlots(n int) Option {
 	return func(s *settings) {
 		s.slotCount = n
--- a/core/claim/slots.go
+++ b/core/claim/slots.go
@@ -8,6 +8,9 @@
 	"waxwingwall"
 )
 
+// maxEpoch limits Slot.Epoch, so that a next one can be given out.
+const maxEpoch = 1 << 53
+
 // slots is the local view of the slots row.
 type slots struct {
 	row     SlotsRow
@@ -94,12 +97,22 @@
 		return
 	}
 	var next SlotsRow
-	if row.Version <= l.slots.version || !decode(row, &next) {
+	if row.Version <= l.slots.version || !decode(row, &next) || !l.validSlots(next) {
 		return
 	}
 	l.replaceSlots(now, next, row.Version)
 }
 
+// validSlots reports whether a router of this fleet can have written the row.
+func (l *Ledger) validSlots(row SlotsRow) bool {
+	for _, s := range row.Slots {
+		if s.Epoch < 0 || s.Epoch > maxEpoch {
+			return false
+		}
+	}
+	return len(row.Slots) == l.slotCount
+}
+
 // replaceSlots replaces the local view of the slots row by a newer one.
 func (l *Ledger) replaceSlots(now time.Time, next SlotsRow, version int64) {
 	before := l.slots.row
