--- a/core/odd_test.go
+++ b/core/odd_test.go
@@ -27,7 +27,7 @@
 }
 
 // TestOddRowsOfTheTable guards against a row that another writer left and that crashes a
-// router which reads it.
+// router which reads it, or keeps it from serving after the row is mended.
 func TestOddRowsOfTheTable(t *testing.T) {
 	for name, value := range oddValues {
 		w, _, _ := startFleet(t, 3, 1, 10000)
@@ -52,7 +52,16 @@
 				w.Run(4 * time.Second)
 				sound.Version += 2_000_000
 				w.Rows[key] = sound
-				w.Run(4 * time.Second)
+				w.Run(10 * time.Second)
+				after := &fake.Client{
+					Request:  request(t, document, 101),
+					MaxTries: 3,
+				}
+				w.Submit(after)
+				w.Run(15 * time.Second)
+				if !after.Ran {
+					t.Errorf("a request after the row is mended is not served: %v", after.Codes)
+				}
 			})
 		}
 	}
