--- a/core/odd_test.go
+++ b/core/odd_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/config"
 	"waxwingwall/fake"
 )
 
@@ -66,3 +67,43 @@
 		}
 	}
 }
+
+// TestOddConfigurationHead guards against a row of the current configuration that another
+// writer left, and that keeps out the versions that follow after it is mended.
+func TestOddConfigurationHead(t *testing.T) {
+	digest := strings.Repeat("0", 64)
+	for name, value := range map[string]string{
+		"version too large":  `{"version":9223372036854775807,"digest":"` + digest + `"}`,
+		"version of no one":  `{"version":1000000,"digest":"` + digest + `"}`,
+		"next version":       `{"version":2,"digest":"` + digest + `"}`,
+		"negative version":   `{"version":-9223372036854775808,"digest":"` + digest + `"}`,
+		"fraction":           `{"version":1.5}`,
+		"digest of a novel":  `{"version":2,"digest":"` + strings.Repeat("0", 100_000) + `"}`,
+		"digest with a path": `{"version":2,"digest":"../../x"}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w, _, _ := startFleet(t, 3, 1, 10000)
+			key := config.CurrentKey(config.Production)
+			sound := w.Rows[key]
+			w.Rows[key] = waxwingwall.Row{Key: key, Version: sound.Version + 1_000_000, Value: value}
+			w.Run(5 * time.Second)
+			sound.Version += 2_000_000
+			w.Rows[key] = sound
+			w.Run(time.Second)
+			w.Execute(config.NewChange(config.Request{
+				Environment: config.Production,
+				Text:        []byte(strings.Replace(fleetDocument, "worth = 10", "worth = 11", 1)),
+				Author:      "fake",
+				Time:        w.Now,
+				ID:          "second",
+				Base:        1,
+			}))
+			w.Run(30 * time.Second)
+			for _, h := range w.Hosts {
+				if d := h.Node.Watcher.Dump(); d.Head.Version != 2 {
+					t.Errorf("%s has version %d, and knows of %d", h.VM, d.Head.Version, d.Known)
+				}
+			}
+		})
+	}
+}
