core/config: follow the table when it drops a version that was not taken

A row of the current configuration that another writer had left kept every later version out: a router fetches the highest version that it knows of, and that one was not there. Versions and digests are now checked, and a version that the row no longer names is dropped unless it is active. The active version never goes back.

--- a/core/config/row.go
+++ b/core/config/row.go
@@ -14,6 +14,13 @@
 // length of the manifest, which is fetched with every version.
 const sectionsPerPart = 512
 
+// Limits of a Head: maxVersion leaves room for the versions that follow, digestBytes is
+// the length of what Digest returns.
+const (
+	maxVersion  = 1 << 53
+	digestBytes = 64
+)
+
 // Head describes a version of a document. It is stored as JSON in the current row
 // and in the history row of the version.
 type Head struct {
@@ -85,6 +92,9 @@
 	if err := json.Unmarshal([]byte(value), &h); err != nil {
 		return Head{}, fmt.Errorf("configuration head: %w", err)
 	}
+	if h.Version < 0 || h.Version > maxVersion || len(h.Digest) != digestBytes {
+		return Head{}, fmt.Errorf("configuration head: invalid version %d or digest of %d bytes", h.Version, len(h.Digest))
+	}
 	return h, nil
 }
 
--- a/core/config/watch.go
+++ b/core/config/watch.go
@@ -129,10 +129,11 @@
 
 	// known is the highest version that the table or a peer is known to have,
 	// knownAt when it became known. Its sources are the table, if knownInTable is
-	// set, and the peers in holders.
+	// set, in the row of version knownRow, and the peers in holders.
 	known        Head
 	knownAt      time.Time
 	knownInTable bool
+	knownRow     int64
 	holders      []waxwingwall.Incarnation
 
 	// tableReached is set once the table has answered a poll, tableBehind while
@@ -367,13 +368,33 @@
 		return
 	}
 	w.tableBehind = head.Version < w.head.Version
+	if w.knownInTable && row.Version > w.knownRow && !sameVersion(head, w.known) {
+		w.dropKnown()
+	}
 	w.setKnown(now, head)
-	if head.Version == w.known.Version {
+	if sameVersion(head, w.known) {
 		w.knownInTable = true
+		w.knownRow = row.Version
 	}
 	w.startFetch(now)
 }
 
+// sameVersion reports whether two heads are of the same version of a document.
+func sameVersion(a, b Head) bool {
+	return a.Version == b.Version && a.Digest == b.Digest
+}
+
+// dropKnown drops the known version, which the table no longer has: another writer may
+// have left it. The active version stays.
+func (w *Watcher) dropKnown() {
+	if w.fetch != nil && sameVersion(w.fetch.head, w.known) {
+		w.fetch = nil
+	}
+	w.known = Head{}
+	w.knownInTable = false
+	w.holders = nil
+}
+
 // setKnown records a newer version and resets its sources.
 func (w *Watcher) setKnown(now time.Time, head Head) {
 	if head.Version <= w.known.Version {
