--- a/core/edge/odd_test.go
+++ b/core/edge/odd_test.go
@@ -11,6 +11,8 @@
 	"waxwingwall"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
+	"waxwingwall/core/limit"
+	"waxwingwall/core/member"
 	"waxwingwall/core/quarantine"
 )
 
@@ -195,3 +197,63 @@
 		})
 	}
 }
+
+// TestOddLimitMessages guards against messages about limits and members with values that no
+// router means: requests go on.
+func TestOddLimitMessages(t *testing.T) {
+	notices := func(rate, named float64, seq uint64) limit.Notices {
+		var m limit.Notices
+		for _, e := range append(engines(4), ledgers(3)...) {
+			m.Notices = append(m.Notices, limit.Notice{Endpoint: e.Endpoint, Pool: e.Service, Seq: seq, Rate: rate, Named: named})
+		}
+		return m
+	}
+	peer := waxwingwall.Incarnation{VM: "vm-2", Boot: 5}
+	many := limit.Ask{ID: 1, Pool: "model"}
+	for i := range 100_000 {
+		many.Exclude = append(many.Exclude, waxwingwall.Endpoint(fmt.Sprint(i)))
+	}
+	for name, message := range map[string]any{
+		"NaN rate":             notices(math.NaN(), math.NaN(), 1),
+		"infinite rate":        notices(math.Inf(1), 1, 1),
+		"negative rate":        notices(-1, -1, 1),
+		"negative infinity":    notices(math.Inf(-1), math.Inf(-1), math.MaxUint64),
+		"rate too large":       notices(math.MaxFloat64, math.MaxFloat64, math.MaxUint64),
+		"rate too small":       notices(math.SmallestNonzeroFloat64, math.NaN(), 1),
+		"ask":                  limit.Ask{ID: math.MaxUint64, Pool: "model", Rank: math.MinInt, Wait: math.MinInt64, Prefer: "none"},
+		"long ask":             limit.Ask{ID: 0, Pool: "model", Rank: math.MaxInt, Wait: math.MaxInt64},
+		"ask that excludes":    many,
+		"answer":               limit.Answer{ID: math.MaxUint64, Endpoint: "none", Queued: math.MinInt64, RetryAfter: math.MinInt64},
+		"return":               limit.Return{ID: math.MaxUint64, Pool: "model", Endpoint: "none"},
+		"NaN loan":             limit.Loan{Pool: "model", Right: math.NaN(), For: math.MaxInt64},
+		"negative loan":        limit.Loan{Pool: "model", Right: math.Inf(-1), For: math.MinInt64},
+		"probe of nobody":      member.Probe{},
+		"probe of this router": member.Probe{Target: waxwingwall.Incarnation{VM: "vm-1", Boot: math.MaxInt64}},
+		"seen":                 member.Seen{Target: waxwingwall.Incarnation{VM: "vm-1", Boot: math.MinInt64}},
+		"heartbeat of nobody":  member.Heartbeat{},
+		"heartbeat": member.Heartbeat{
+			View: math.MaxUint64, Self: member.Rumour{Incarnation: waxwingwall.Incarnation{VM: "vm-1", Boot: math.MaxInt64}},
+			Rumours: make([]member.Rumour, 10_000),
+		},
+		"sync": member.Sync{Ask: true, Rumours: []member.Rumour{{}, {Incarnation: waxwingwall.Incarnation{VM: "vm-1", Boot: math.MaxInt64}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.step(Nodes{Snapshot: true, Rows: []waxwingwall.Row{{Key: NodeKey(peer), Version: 1, Value: soundNode}}})
+			for range 10 {
+				h.step(effect.Received{From: peer, Message: message})
+				h.advance(200 * time.Millisecond)
+			}
+			for i, route := range []string{"draft", "advice", "order", "quote"} {
+				c := call(route)
+				c.ID = fmt.Sprint(name, i)
+				if _, out := h.arrive(c); !has[Dispatch](out) {
+					t.Errorf("%s: not dispatched: %+v", route, out)
+				}
+			}
+			if boot := h.edge.Self.Boot; boot < 1 || boot > 100 {
+				t.Errorf("the router goes on as %v", h.edge.Self)
+			}
+		})
+	}
+}
