core/limit: ignore limits of peers that no endpoint can have named

A notice with a rate that is negative, infinite or no number was taken over as the limit of an endpoint: no request went there any more. Rates are now checked, as those that endpoints name are.

--- a/core/limit/gossip.go
+++ b/core/limit/gossip.go
@@ -19,6 +19,10 @@
 
 	// maxNotices limits the notices in one message.
 	maxNotices = 16
+
+	// maxRate limits the rates in notices, in requests per second. It is above all
+	// that waxwingwall.ParseRateLimit accepts.
+	maxRate = 1e9
 )
 
 // gossip is the state of the exchange of notices.
@@ -33,11 +37,21 @@
 	repairNext int
 }
 
+// valid reports whether an endpoint can have named the limit.
+func (n *Notice) valid() bool {
+	return isRate(n.Rate) && isRate(n.Named)
+}
+
+// isRate reports whether r is a rate; it is false if r is no number.
+func isRate(r float64) bool {
+	return r >= 0 && r <= maxRate
+}
+
 // merge applies the notices of a peer.
 func (l *Limiter) merge(now time.Time, from waxwingwall.Incarnation, notices []Notice) {
 	for _, n := range notices {
 		born, _, known := l.lookup(n.Endpoint)
-		if !known || born != n.Born {
+		if !known || born != n.Born || !n.valid() {
 			continue
 		}
 		if r := l.rows[n.Endpoint]; r != nil && r.notice.Born == n.Born && !n.newer(r.notice) {
