io/origin: a connection that TCP gave up has not paused

Callers could get a broken answer as a whole one. An answer without a length ends with its connection. ETIMEDOUT counted as the end of a wait, the driver was asked whether to wait on, and the next read reported a plain end. Only the pool's own limits count now.

Before: after 2.99s, the broken answer "part" is complete. The test passes now.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -25,6 +25,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -594,10 +595,10 @@
 	return trace.Wrap(err)
 }
 
-// isTimeout reports whether err is a timeout.
+// isTimeout reports whether err is the end of a limit that the pool has set. A timeout of
+// TCP ends the connection: a later read would report a plain end.
 func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // Read reads the body. It returns io.EOF only after a complete one.
