core/edge: refuse no request whose answer has begun

A caller that had the header of a stream, and comments alone, got the text of a refusal as the rest of it, with a proper end. Before: refused after the header: endpoint_unreached. The test passes now.

--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -407,7 +407,7 @@
 
 // fail ends a request without a complete answer.
 func (e *Edge) fail(r *request, result Result) {
-	if r.events > 0 {
+	if r.events > 0 || r.lastAttempt.Committed {
 		e.abort(r)
 		return
 	}
