relay: the last event's write limit does not end its stream

A stream whose endpoint ended it over 10 s after the last event was cut: the end was written under the limit of that event. Before: status 200, unexpected EOF. The test passes now.

--- a/relay/request.go
+++ b/relay/request.go
@@ -484,6 +484,7 @@
 			return outcome
 		}
 		if errors.Is(err, io.EOF) {
+			p.extendWrite()
 			return outcome
 		}
 		if err != nil {
@@ -555,6 +556,7 @@
 			}
 		case errors.Is(err, io.EOF):
 			p.commit(answer, -1)
+			p.extendWrite()
 			return edge.AttemptEnded{
 				Status: answer.Status,
 			}
@@ -583,15 +585,20 @@
 // write writes and flushes a part of the answer. It reports false if the caller
 // does not accept it.
 func (p *proxyRequest) write(b []byte) bool {
-	c := http.NewResponseController(p.w)
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if !p.extendWrite() {
 		return false
 	}
 	if _, err := p.w.Write(b); err != nil {
 		return false
 	}
 	p.relay.link.add(len(b) + packetOverhead)
-	return c.Flush() == nil
+	return http.NewResponseController(p.w).Flush() == nil
+}
+
+// extendWrite begins the limit for the next write anew; the server writes the end of an
+// answer after the last part. It reports false if the caller has disconnected.
+func (p *proxyRequest) extendWrite() bool {
+	return http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(writeTimeout)) == nil
 }
 
 // copyHeader copies the header of an endpoint's answer without the hop-by-hop
