--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -354,7 +354,8 @@
 			s.idleSince = time.Now()
 			return n, err
 		}
-		if s.timeout == 0 || s.keepWaiting == nil || !isTimeout(err) {
+		// After a timeout of TCP, which ends the connection, a read would report a plain end.
+		if s.timeout == 0 || s.keepWaiting == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		more := s.keepWaiting(time.Since(s.idleSince))
@@ -595,10 +596,10 @@
 	return trace.Wrap(err)
 }
 
-// isTimeout reports whether err is the end of a limit that the pool has set. A timeout of
-// TCP ends the connection: a later read would report a plain end.
+// isTimeout reports whether err is a timeout, of the pool or of TCP.
 func isTimeout(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded)
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // Read reads the body. It returns io.EOF only after a complete one.
