--- a/core/edge/replaced_test.go
+++ b/core/edge/replaced_test.go
@@ -196,3 +196,22 @@
 		t.Errorf("cut after the next endpoint left: %+v", out)
 	}
 }
+
+// TestNextEndpointMovesToAnotherService guards against a request that is sent to an endpoint
+// of another service: its entry changed after it was chosen.
+func TestNextEndpointMovesToAnotherService(t *testing.T) {
+	h := newHarness(t)
+	d := h.beginStream()
+	if out := h.stall(d, soundSilence); !has[LeaveAttempt](out) {
+		t.Fatalf("%+v", out)
+	}
+	moved := h.edge.requests[d.Request].next.replica
+	moved.Service = "ledger"
+	h.step(Replicas{
+		Replicas: []waxwingwall.Replica{moved},
+		Revision: 12,
+	})
+	if next := only[Dispatch](h, h.endAttempt(d, left)); next.Params.Endpoint == moved.Endpoint {
+		t.Errorf("dispatched to %s, which runs %s now", next.Params.Endpoint, moved.Service)
+	}
+}
