core/edge: send a left request to no other service

An endpoint's entry may change its service between the choice and the dispatch. Before: dispatched to engine-1, which runs ledger now. The test passes now.

--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -150,7 +150,7 @@
 // continueAt sends a request that has left its attempt to the endpoint that was chosen
 // for it.
 func (e *Edge) continueAt(r *request, next *endpoint) {
-	if e.endpoints.rows[next.replica.Endpoint] != next || !e.certain(next) {
+	if e.endpoints.rows[next.replica.Endpoint] != next || next.replica.Service != r.service || !e.certain(next) {
 		e.dispatch(r)
 		return
 	}
