--- a/relay/ends_test.go
+++ b/relay/ends_test.go
@@ -97,3 +97,15 @@
 		t.Errorf("status %d, %q: %v", resp.StatusCode, body, err)
 	}
 }
+
+// TestSilenceBesideDecliningEndpoint guards against streams that are cut because they are
+// left for an endpoint that declines them, while their own goes on after a while.
+func TestSilenceBesideDecliningEndpoint(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	f.slowEvents()
+	answers := f.callAll("advice", 8, 100*time.Millisecond, func() {
+		f.engines[0].Silence(2600 * time.Millisecond)
+		f.engines[1].Decline(1_000)
+	})
+	f.checkWhole(answers, wholeStream)
+}
