--- a/relay/ends_test.go
+++ b/relay/ends_test.go
@@ -35,8 +35,7 @@
 	f.replaceEngines(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		n := runs.Add(1)
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Server-Seal", "s")
+		standin.SealAnswer(w.Header(), r.Header)
 		w.Header().Set("Content-Type", "application/json")
 		text := strings.Repeat(fmt.Sprint(n), size)
 		if n == 1 {
@@ -60,8 +59,7 @@
 	f := newFleet(t, 1, testAccount)
 	f.replaceEngines(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-		w.Header().Set("X-Server-Seal", "s")
+		standin.SealAnswer(w.Header(), r.Header)
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, "id: 1\ndata: piece 1\n\n")
 		_ = http.NewResponseController(w).Flush()
