core/sched, core/retry: leave an idle attempt only with a spare attempt and retry

Callers got 502 for an answer whose engine was silent for a moment: its attempt was left with the last retry, or for the last attempt, and the next engine declined. Two retries are taken now, and one is returned once the next attempt has output; an attempt after which none is left stays.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -39,6 +39,11 @@
 	return true
 }
 
+// Return returns a retry that was taken and not used.
+func (b *Budget) Return() {
+	b.spent = max(0, b.spent-1)
+}
+
 // Left returns the number of remaining retries, which may be fractional.
 func (b *Budget) Left() float64 {
 	return b.reserve() - b.spent
--- a/core/sched/idle.go
+++ b/core/sched/idle.go
@@ -27,6 +27,10 @@
 	// what the driver allows.
 	maxSilence = 30 * time.Second
 
+	// leaveRetries is the number of retries that are taken to leave an idle attempt: one
+	// for the next attempt, and one more in case its endpoint declines.
+	leaveRetries = 2
+
 	// silentTimeouts is the time, in idle timeouts, after which an attempt that can't
 	// be moved shows that its endpoint is silent, and not just its connection.
 	silentTimeouts = 2
@@ -82,7 +86,7 @@
 	if now.Sub(j.lastProgress) > maxSilence {
 		return append([]effect.Action{s.cancelIdle(now, j)}, s.handleFailure(now, j, IdleTimeout)...)
 	}
-	if !s.mayRetry(now, j) {
+	if !s.mayLeave(now, j) {
 		return nil
 	}
 	to, newConnection := s.nextEndpoint(now, j)
@@ -95,6 +99,20 @@
 	return []effect.Action{cancel, s.dispatch(now, j, to)}
 }
 
+// mayLeave reports whether an idle attempt may be left: for another attempt, and for one
+// more in case the endpoint declines that.
+func (s *Scheduler) mayLeave(now time.Time, j *job) bool {
+	return j.attempt+1 < maxAttempts && s.retries.Left() >= leaveRetries && s.mayRetry(now, j)
+}
+
+// returnSpare returns the retry that was taken in case the next endpoint declines.
+func (s *Scheduler) returnSpare(j *job) {
+	if j.spareRetry {
+		j.spareRetry = false
+		s.retries.Return()
+	}
+}
+
 // isSilent reports whether an idle attempt shows that its endpoint is silent: nothing
 // arrived on a new connection either.
 func (s *Scheduler) isSilent(now time.Time, j *job) bool {
@@ -128,7 +146,11 @@
 // leaveEndpoint ends an idle attempt for a retry that is dispatched next.
 func (s *Scheduler) leaveEndpoint(now time.Time, j *job) effect.Action {
 	cancel := s.cancelIdle(now, j)
-	s.retries.Take()
+	s.returnSpare(j)
+	for range leaveRetries {
+		s.retries.Take()
+	}
+	j.spareRetry = true
 	j.failedEndpoint = j.endpoint
 	s.releaseSlot(j)
 	j.queuedAt = now
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -153,7 +153,7 @@
 	}
 	j.ask = 0
 	e := s.byName[g.Endpoint]
-	stays := j.endpoint != nil && !(s.isIdle(now, j) && s.mayRetry(now, j))
+	stays := j.endpoint != nil && !(s.isIdle(now, j) && s.mayLeave(now, j))
 	if stays || j.flow == nil || e == nil || !s.hasRoom(now, j, e) {
 		s.limits.GiveBack(now, g)
 		return
--- a/core/sched/offer.go
+++ b/core/sched/offer.go
@@ -155,6 +155,7 @@
 func (s *Scheduler) drop(j *job) {
 	delete(s.jobs, j.work.Identity)
 	s.cancelAsk(j)
+	s.returnSpare(j)
 	if j.endpoint != nil {
 		s.releaseSlot(j)
 	} else if j.flow != nil {
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -326,6 +326,7 @@
 	e.lastActivity = now
 	e.failures = 0
 	if !j.hasOutput {
+		s.returnSpare(j)
 		j.hasOutput = true
 		j.tokens = max(j.tokens, tokens)
 		if j.flow != nil {
@@ -479,7 +480,10 @@
 		}
 	}
 	if s.mayRetry(now, j) {
-		s.retries.Take()
+		if !j.spareRetry {
+			s.retries.Take()
+		}
+		j.spareRetry = false
 		j.failedEndpoint = e
 		j.newConnection = f == IdleTimeout && !e.lastActivity.After(j.dispatchedAt)
 		j.queuedAt = now
@@ -513,5 +517,5 @@
 	if s.isBlocked(now, j.work) {
 		return false
 	}
-	return s.retries.Left() >= 1
+	return j.spareRetry || s.retries.Left() >= 1
 }
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -170,6 +170,10 @@
 	// held is set while the driver has yet to send the request of the attempt.
 	held bool
 
+	// spareRetry is set from when an idle attempt is left until the next one has output
+	// or was declined.
+	spareRetry bool
+
 	// declined counts the attempts that the endpoints did not run.
 	declined int
 
