core/edge: reserve a slot and a spare retry before a silent attempt is left

Callers saw streams cut beside a silent endpoint when the other one declined, could not be reached or left: 7 of 8 answers ended as 502 (TestSilenceBesideDecliningEndpoint). What was certain for one request was counted on by several, and a request could not go back.

A slot of the next endpoint is now reserved and a second retry taken, which is returned once the next answer has begun. A request that no other endpoint takes goes back to the one that was silent, which may be sound. In TestSilentAttemptLeft two retries are taken until the next answer begins.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -75,6 +75,9 @@
 	prefill waxwingwall.Tokens
 	memory  waxwingwall.Tokens
 
+	// reserved counts this router's requests that leave another attempt for the endpoint.
+	reserved int
+
 	// peerLoad is the load reported by the other routers.
 	peerLoad load
 
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -80,10 +80,14 @@
 
 	// firstTimeout is the time from sentAt after which the attempt may be left if the
 	// answer has not begun. stalledAt is the last attempt that has stalled; next is the
-	// endpoint for which the attempt in flight is left, and for which a retry is taken.
+	// endpoint for which the attempt in flight is left, with a slot reserved and retries
+	// taken. After that left is the endpoint that was silent, and spareRetry is set until
+	// the next one has declined or begun to answer.
 	firstTimeout time.Duration
 	stalledAt    int
 	next         *endpoint
+	left         waxwingwall.Endpoint
+	spareRetry   bool
 
 	// ask is the ID of the pending ask for a permit; zero if there is none. denied is set
 	// while the request is dispatched after a denial, retryAfter is the delay before the
@@ -143,6 +147,9 @@
 		// After an outage of the store, the entries of all endpoints may be missing.
 		c, ok = e.choose(r, func(row *endpoint) bool { return row.usable() && mayUse(row) })
 	}
+	if !ok {
+		c, ok = e.chooseLeft(r, func(row *endpoint) bool { return row.usable() && mayUse(row) })
+	}
 	if !ok && r.denied {
 		e.refuseLimited(r)
 		return
@@ -249,6 +256,7 @@
 	r.answerStarted = true
 	r.firstLatency = e.now.Sub(r.sentAt)
 	e.link.clear.add(e.now, r.firstLatency)
+	e.releaseSpare(r)
 	r.endpoint.heardAt = e.now
 	r.endpoint.recordReachable()
 	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.endpoint.slowdown)
@@ -287,6 +295,7 @@
 		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("idle", ev.Idle), field("cause", ev.Err))
 	switch {
 	case ev.Result == IdleTimeout && next != nil:
+		r.left = target.replica.Endpoint
 		e.continueAt(r, next)
 	case ev.Committed && !(r.route.Kind == waxwingwall.Streaming && r.route.Resumable):
 		r.noRetry = "not_resumable"
@@ -398,6 +407,10 @@
 	default:
 		return "deadline"
 	}
+	if r.spareRetry {
+		r.spareRetry = false
+		return ""
+	}
 	if !e.retryBudget(r.service).take(e.now) {
 		e.log("retry_budget_spent", r.call.ID, field("service", r.service))
 		return "retry_budget_spent"
@@ -572,6 +585,7 @@
 func (e *Edge) removeRequest(r *request) {
 	e.cancelAsk(r)
 	e.releaseNext(r)
+	e.releaseSpare(r)
 	delete(e.requests, r.id)
 }
 
--- a/core/edge/silence_test.go
+++ b/core/edge/silence_test.go
@@ -146,7 +146,7 @@
 	if next.Params.Endpoint == d.Params.Endpoint || next.Params.Offset != "2" {
 		t.Errorf("%+v", next)
 	}
-	if got := h.edge.retryBudget("model").balance; got != before-1 {
+	if got := h.edge.retryBudget("model").balance; got != before-leaveRetries {
 		t.Errorf("%v retries left of %v", got, before)
 	}
 	if out := h.stall(next, 2*time.Second); !has[KeepWaiting](out) {
--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -9,8 +9,9 @@
 
 // An endpoint that sends nothing may be dead, or sound and silent for a moment. Silence
 // alone does not end an attempt: it is left only once the request is certain to go on
-// elsewhere, with a retry taken and an endpoint chosen. Until then it waits, and ends
-// with the request's deadline, with its connection or with its answer.
+// elsewhere, with retries taken and a slot of an endpoint reserved. Until then it waits,
+// and ends with the request's deadline, with its connection or with its answer. If no
+// other endpoint takes the request after all, it goes back to the silent one.
 
 const (
 	// soundSilence is how long a sound endpoint may send nothing inside a stream.
@@ -19,8 +20,8 @@
 	// stallInterval is the time between two looks at an attempt that has stalled.
 	stallInterval = 500 * time.Millisecond
 
-	// leaveRetries is the number of retries that must be left to leave an attempt: one
-	// for the next attempt, and one more in case its endpoint declines.
+	// leaveRetries is the number of retries that are taken to leave an attempt: one for the
+	// next attempt, and one more in case its endpoint declines.
 	leaveRetries = 2
 
 	// maxLeaveFailureRate is the failure rate up to which an endpoint counts as better
@@ -91,13 +92,14 @@
 		return
 	}
 	r.next = next
+	next.reserved++
 	e.emit(LeaveAttempt{
 		Request: r.id,
 	})
 }
 
 // chooseNext chooses the endpoint at which a request whose attempt has stalled is certain
-// to go on, and takes a retry for it. It returns the obstacle if there is one.
+// to go on, and takes the retries for it. It returns the obstacle if there is one.
 func (e *Edge) chooseNext(r *request, idle time.Duration) (next *endpoint, obstacle string) {
 	switch {
 	case e.LinkSuspect(e.now):
@@ -125,8 +127,9 @@
 		return nil, "no_endpoint"
 	case e.quarantined(r):
 		return nil, "quarantined"
-	case !budget.take(e.now):
-		return nil, "retry_budget_spent"
+	}
+	for range leaveRetries {
+		budget.take(e.now)
 	}
 	return c.endpoint, ""
 }
@@ -144,12 +147,14 @@
 	if s := e.config.services[row.replica.Service]; s != nil && s.Engine && s.Slots > 0 {
 		slots = s.Slots
 	}
-	return slots == 0 || row.running+row.peerLoad.running < slots
+	return slots == 0 || row.running+row.reserved+row.peerLoad.running < slots
 }
 
 // continueAt sends a request that has left its attempt to the endpoint that was chosen
 // for it.
 func (e *Edge) continueAt(r *request, next *endpoint) {
+	next.reserved--
+	r.spareRetry = true
 	if e.endpoints.rows[next.replica.Endpoint] != next || next.replica.Service != r.service || !e.certain(next) {
 		e.dispatch(r)
 		return
@@ -157,12 +162,32 @@
 	e.startAttempt(r, e.cost(r, next, false))
 }
 
-// releaseNext returns the retry of a request that does not go on at the endpoint that was
-// chosen for it.
+// releaseNext returns the slot and the retries of a request that does not go on at the
+// endpoint that was chosen for it.
 func (e *Edge) releaseNext(r *request) {
 	if r.next == nil {
 		return
 	}
+	r.next.reserved--
 	r.next = nil
-	e.retryBudget(r.service).giveBack()
+	for range leaveRetries {
+		e.retryBudget(r.service).giveBack()
+	}
+}
+
+// releaseSpare returns the retry that was taken in case the next endpoint declines.
+func (e *Edge) releaseSpare(r *request) {
+	if r.spareRetry {
+		r.spareRetry = false
+		e.retryBudget(r.service).giveBack()
+	}
+}
+
+// chooseLeft chooses again the endpoint whose attempt was left for its silence.
+func (e *Edge) chooseLeft(r *request, accept func(*endpoint) bool) (placement, bool) {
+	if r.left == "" {
+		return placement{}, false
+	}
+	delete(r.tried, r.left)
+	return e.choose(r, accept)
 }
