--- a/core/edge/silence_test.go
+++ b/core/edge/silence_test.go
@@ -149,6 +149,10 @@
 	if got := h.edge.retryBudget("model").balance; got != before-leaveRetries {
 		t.Errorf("%v retries left of %v", got, before)
 	}
+	h.step(AnswerStarted{Request: next.Request, Attempt: next.Attempt})
+	if got := h.edge.retryBudget("model").balance; got != before-1 {
+		t.Errorf("%v retries left of %v once the next answer has begun", got, before)
+	}
 	if out := h.stall(next, 2*time.Second); !has[KeepWaiting](out) {
 		t.Errorf("the last attempt was left: %+v", out)
 	}
