core/edge, relay: an answer goes on at the version that began it

A stream that broke off at its endpoint was resumed at any other one. With two software versions side by side, callers got events of both in one answer; what two versions write doesn't fit together, and endpoints don't check.

Endpoints had no version in the router. Each now has a build, a hash of its service and version. A request for a resumable stream is pinned to the build of its endpoint when the first complete event arrives, which the relay reports before it writes the event to the caller. A pinned request is sent to endpoints of its build alone, also by permits. If none is left, its answer is cut, as it was when no endpoint was left at all.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -38,6 +38,7 @@
 // endpoint is this router's state of one endpoint.
 type endpoint struct {
 	replica waxwingwall.Replica
+	build   build
 
 	// firstSeen is when the endpoint was first listed. missingSince is when its
 	// entry was found missing after an outage of the store; zero otherwise.
@@ -198,6 +199,7 @@
 	if old == nil {
 		row := &endpoint{
 			replica:   r,
+			build:     buildOf(r),
 			firstSeen: e.now,
 			slowdown:  1,
 			parts:     map[uint64]time.Time{},
@@ -206,7 +208,7 @@
 		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.log("endpoint_listed", "",
-			field("endpoint", r.Endpoint), field("service", r.Service), field("leaving", r.Leaving),
+			field("endpoint", r.Endpoint), field("service", r.Service), field("software", r.Version), field("leaving", r.Leaving),
 			field("revision", t.revision), field("from", from))
 		return
 	}
@@ -234,6 +236,7 @@
 		e.limits.Forget(r.Endpoint)
 	}
 	old.replica = r
+	old.build = buildOf(r)
 	e.applyNotices(old)
 	if moved {
 		t.add(old)
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -92,8 +92,9 @@
 
 // hasUnlimited reports whether a request can be sent to an endpoint without a limit.
 func (e *Edge) hasUnlimited(r *request) bool {
+	mayUse := e.versionFilter(r)
 	for _, row := range e.endpoints.byService[r.service] {
-		if row.listed() && !r.tried[row.replica.Endpoint] && !e.now.Before(row.backoffUntil) && !e.limits.Limited(row.replica.Endpoint) {
+		if row.listed() && mayUse(row) && !r.tried[row.replica.Endpoint] && !e.now.Before(row.backoffUntil) && !e.limits.Limited(row.replica.Endpoint) {
 			return true
 		}
 	}
@@ -112,9 +113,10 @@
 	if r.account != nil {
 		ask.Account = r.account.Name
 	}
+	mayUse := e.versionFilter(r)
 	for _, row := range e.endpoints.byService[r.service] {
 		id := row.replica.Endpoint
-		if row != c.endpoint && e.limits.Limited(id) && (r.tried[id] || !row.usable() || e.now.Before(row.backoffUntil)) {
+		if row != c.endpoint && e.limits.Limited(id) && (!row.usable() || !mayUse(row) || r.tried[id] || e.now.Before(row.backoffUntil)) {
 			ask.Exclude = append(ask.Exclude, id)
 		}
 	}
@@ -141,7 +143,7 @@
 	delete(e.permits, g.ID)
 	r.ask = 0
 	row := e.endpoints.rows[g.Endpoint]
-	if row == nil || !row.usable() || r.tried[g.Endpoint] || !e.mayDispatch() || r.deadline.Sub(e.now) < minAttemptTime {
+	if row == nil || !row.usable() || !e.versionFilter(r)(row) || r.tried[g.Endpoint] || !e.mayDispatch() || r.deadline.Sub(e.now) < minAttemptTime {
 		e.limits.GiveBack(e.now, g)
 		e.dispatchDenied(r, defaultRetryAfter)
 		return
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -73,6 +73,7 @@
 	// the first part of the answer.
 	endpoint       *endpoint
 	sentAt         time.Time
+	sentBuild      build
 	uncachedTokens waxwingwall.Tokens
 	expectedCost   float64
 	answerStarted  bool
@@ -89,6 +90,9 @@
 	left         waxwingwall.Endpoint
 	spareRetry   bool
 
+	// pin is the build that a stream is bound to.
+	pin pin
+
 	// ask is the ID of the pending ask for a permit; zero if there is none. denied is set
 	// while the request is dispatched after a denial, retryAfter is the delay before the
 	// caller may retry.
@@ -137,7 +141,8 @@
 		e.refuse(r, e.unavailableProblem("endpoints_unknown", "this router has no current list of endpoints", max(e.link.queueDelay(e.now), staleRetryAfter)))
 		return
 	}
-	mayUse := e.limitFilter(r)
+	unlimited, ofVersion := e.limitFilter(r), e.versionFilter(r)
+	mayUse := func(row *endpoint) bool { return unlimited(row) && ofVersion(row) }
 	c, ok := e.choose(r, func(row *endpoint) bool { return row.listed() && mayUse(row) })
 	if !ok && len(r.tried) > 0 && !r.mayHaveRun() {
 		clear(r.tried)
@@ -154,6 +159,10 @@
 		e.refuseLimited(r)
 		return
 	}
+	if !ok && r.pin.set {
+		e.endPinned(r)
+		return
+	}
 	if !ok {
 		e.log("no_endpoint", r.call.ID, field("service", r.service),
 			field("known", len(e.endpoints.byService[r.service])), field("store_lost", e.endpoints.storeUnavailable))
@@ -174,6 +183,7 @@
 	r.endpoint = c.endpoint
 	r.limitSeq = e.limits.Seq(c.endpoint.replica.Endpoint)
 	r.sentAt = e.now
+	r.sentBuild = c.endpoint.build
 	r.expectedCost = c.cost
 	r.uncachedTokens = c.uncached
 	r.answerStarted = false
@@ -216,7 +226,8 @@
 	r.firstTimeout = d.FirstTimeout
 	e.log("dispatched", r.call.ID,
 		field("route", r.route.Name), field("version", e.config.version), field("rank", r.rank),
-		field("attempt", r.attempt), field("endpoint", d.Params.Endpoint), field("among", c.candidates),
+		field("attempt", r.attempt), field("endpoint", d.Params.Endpoint),
+		field("software", c.endpoint.replica.Version), field("among", c.candidates),
 		field("cost_ms", int(c.cost)), field("unread", c.uncached), field("running", c.endpoint.running),
 		field("reserved", r.reserved), field("left", remaining), field("endpoints_age", e.endpoints.age(e.now)))
 	e.emit(d)
@@ -261,6 +272,9 @@
 	r.endpoint.recordReachable()
 	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.endpoint.slowdown)
 	e.gossip.loadChanged = true
+	if ev.Event {
+		e.streamBegins(r)
+	}
 }
 
 // handleAttemptEnded handles the end of an attempt and decides what follows.
--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -121,7 +121,8 @@
 	if budget.available(e.now) < leaveRetries {
 		return nil, "retry_budget_spent"
 	}
-	c, ok := e.choose(r, e.certain)
+	ofVersion := e.versionFilter(r)
+	c, ok := e.choose(r, func(row *endpoint) bool { return ofVersion(row) && e.certain(row) })
 	switch {
 	case !ok:
 		return nil, "no_endpoint"
@@ -155,7 +156,7 @@
 func (e *Edge) continueAt(r *request, next *endpoint) {
 	next.reserved--
 	r.spareRetry = true
-	if e.endpoints.rows[next.replica.Endpoint] != next || next.replica.Service != r.service || !e.certain(next) {
+	if e.endpoints.rows[next.replica.Endpoint] != next || next.replica.Service != r.service || !e.versionFilter(r)(next) || !e.certain(next) {
 		e.dispatch(r)
 		return
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -516,13 +516,6 @@
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
-			if !started {
-				started = true
-				p.relay.postEvent(edge.AnswerStarted{
-					Request: d.Request,
-					Attempt: d.Attempt,
-				})
-			}
 			complete, ok := p.events.Feed(buffer[:n])
 			if !ok {
 				return edge.AttemptEnded{
@@ -530,6 +523,14 @@
 					Err:    "event too long",
 				}
 			}
+			if len(complete) > 0 && !started {
+				started = true
+				p.relay.postEvent(edge.AnswerStarted{
+					Request: d.Request,
+					Attempt: d.Attempt,
+					Event:   true,
+				})
+			}
 			if len(complete) > 0 {
 				p.commit(answer, -1)
 				if !p.write(complete) {
