core/edge: a stream is taken up at the version that began it, at all routers

A caller whose answer broke off takes the stream up with Last-Event-Id, often at another router. The routers chose any endpoint of the service, or of another service of the route, so streams went on at another software version than the one that began them. Nothing told which one that was: a router knew of no versions, ignored the attempt that callers name in Resumes, and one router's streams were unknown to the others.

The router that passes the first event of a stream on now tells three peers which build began it, under a hash of the account and the caller's attempt. The peers are chosen by rendezvous hashing over the live routers, in three failure domains. A router at which the caller takes the stream up looks among its own records, then asks five peers in the same order, again after 100 ms, and refuses the request as not run after 200 ms. Two builds for one stream make it doubtful for good. A refusal or a try without events changes no record.

Where only one version can be meant, nobody is asked. For this a router needs a current list, and all builds that were listed in the time for which streams are taken up: those of its own lists, and for a router that starts those in the rows of all routers, dead ones included. As lists differ for a moment, a new build begins no streams until its entry is older than the list of any router may be, as long as another one serves.

With one version nothing is refused and nothing waits. After all routers have been killed at once, streams that are unknown are refused while several versions can be meant.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"net/http"
 	"sort"
 
@@ -22,6 +23,14 @@
 		e.refuse(r, p)
 		return
 	}
+	if r.resumes() && !e.resolve(r) {
+		return
+	}
+	e.start(r)
+}
+
+// start reserves the cost of an admitted request and dispatches it.
+func (e *Edge) start(r *request) {
 	e.retryBudget(r.service).addRequest()
 	e.fundRequest(r)
 }
@@ -43,7 +52,7 @@
 	if e.refusesRequests() {
 		return e.unavailableProblem("stopping", "this router is about to stop", 0)
 	}
-	r.service = chooseService(r.route, r.call.ID)
+	r.service = chooseService(r.route, cmp.Or(r.streamName(), r.call.ID))
 	r.rank = r.route.Rank
 	if r.account != nil && r.account.HasRank {
 		r.rank = r.account.Rank
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -131,6 +131,7 @@
 	gossip       gossipState
 	link         link
 	departures   departures
+	versions     versions
 
 	announcements announcements
 	pauses        pauses
@@ -186,6 +187,7 @@
 	e.rng = rand.New(rand.NewPCG(e.seed, uint64(self.Boot)))
 	e.endpoints.init()
 	e.nodes.init()
+	e.versions.init()
 	e.limits = limit.New(self, e.lookupEndpoint, limit.WithSeed(e.seed))
 	e.initIncarnation(self)
 	return e
@@ -240,7 +242,7 @@
 	case HeadReceived:
 		e.handleHeadReceived(ev)
 	case NoticeReceived:
-		e.handleNotice(ev)
+		e.handleEndpointNotice(ev)
 	case AnswerStarted:
 		e.handleAnswerStarted(ev)
 	case AttemptStalled:
@@ -290,6 +292,7 @@
 	e.expireNotices()
 	e.removeMissing()
 	e.logOverdue()
+	e.versionStep()
 	e.drainStep()
 }
 
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -141,6 +141,7 @@
 	if asOf.IsZero() {
 		asOf = e.now
 	}
+	e.versions.asOfBefore = t.asOf
 	if asOf.After(t.asOf) {
 		t.asOf = asOf
 	}
@@ -207,6 +208,7 @@
 		t.add(row)
 		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
+		e.endpointListed(r.Service, buildOf(r))
 		e.log("endpoint_listed", "",
 			field("endpoint", r.Endpoint), field("service", r.Service), field("software", r.Version), field("leaving", r.Leaving),
 			field("revision", t.revision), field("from", from))
@@ -238,6 +240,7 @@
 	old.replica = r
 	old.build = buildOf(r)
 	e.applyNotices(old)
+	e.endpointListed(r.Service, old.build)
 	if moved {
 		t.add(old)
 	}
@@ -265,6 +268,7 @@
 // removeEndpoint removes an endpoint.
 func (e *Edge) removeEndpoint(row *endpoint, from string) {
 	e.endpoints.remove(row)
+	e.buildSeen(row.replica.Service, row.build)
 	e.limits.Forget(row.replica.Endpoint)
 	e.forgetNotices(row.replica)
 	delete(e.endpoints.rows, row.replica.Endpoint)
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -260,6 +260,12 @@
 		e.handleNews(ev.From, m)
 	case escrow.GrantNotice:
 		e.notices.Learn(e.now, ev.From, m)
+	case StreamNotice:
+		e.handleNotice(m)
+	case AskStream:
+		e.handleAskStream(ev.From, m)
+	case StreamAnswer:
+		e.handleStreamAnswer(m)
 	case Crashes:
 		for _, n := range m.Notices {
 			e.crashes.table.Merge(e.now, n)
@@ -329,6 +335,7 @@
 	t := &e.endpoints
 	m.Replicas = validReplicas(m.Replicas)
 	if m.Revision > t.revision && (t.storeUnavailable || !t.complete) {
+		e.versions.asOfBefore = t.asOf
 		e.mergeReplicas(Replicas{
 			Snapshot: true,
 			Replicas: m.Replicas,
@@ -366,5 +373,8 @@
 		AskNews{},
 		News{},
 		Crashes{},
+		StreamNotice{},
+		AskStream{},
+		StreamAnswer{},
 	}
 }
--- a/core/edge/leaving.go
+++ b/core/edge/leaving.go
@@ -50,8 +50,8 @@
 	return all[:min(len(all), maxDepartures)]
 }
 
-// handleNotice handles what the header of an answer says of its endpoint.
-func (e *Edge) handleNotice(ev NoticeReceived) {
+// handleEndpointNotice handles what the header of an answer says of its endpoint.
+func (e *Edge) handleEndpointNotice(ev NoticeReceived) {
 	if ev.Leaving {
 		e.handleAnnouncement(ev.Endpoint, ev.Born)
 	}
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -78,6 +78,10 @@
 	// Touch counts the updates that show that the router is live.
 	Touch int `json:"touch,omitempty"`
 
+	// Builds are builds of services that were listed in the streamRetention before; at most
+	// maxRowBuilds of each service.
+	Builds map[waxwingwall.Model][]build `json:"builds,omitempty"`
+
 	// Era is the StoreEra.MinVersion in which the router has written all of its rows.
 	Era int64 `json:"era,omitempty"`
 
@@ -182,6 +186,7 @@
 		return
 	}
 	t.unavailable = false
+	firstLoad := ev.Snapshot && !t.loaded
 	if ev.Snapshot {
 		t.loaded = true
 		listed := map[waxwingwall.Incarnation]bool{}
@@ -203,6 +208,9 @@
 	for i := range t.rows {
 		t.newest[i.VM] = max(t.newest[i.VM], i.Boot)
 	}
+	if firstLoad {
+		e.adoptBuilds()
+	}
 	e.limiterStale = true
 	e.updateMembers()
 	e.ensureNewest()
@@ -307,6 +315,7 @@
 			Domain:  n.row.Domain,
 		})
 	}
+	e.versions.ownersStale = true
 	e.handleActions(e.view.Step(e.now, member.Listed{
 		Members: members,
 	}))
@@ -383,7 +392,7 @@
 		peerUnresponsive = peerUnresponsive || !p.Alive || p.Suspect
 	}
 	touch := t.registered && peerUnresponsive && e.now.Sub(t.touchedAt) >= touchInterval
-	outdated := t.written != e.eras()
+	outdated := t.written != e.eras() || e.versions.rowOutdated(e.now)
 	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch && !outdated {
 		return
 	}
@@ -403,6 +412,7 @@
 		Domain:   e.info.Domain,
 		LinkMbps: e.info.LinkMbps,
 		Touch:    t.touch,
+		Builds:   e.versions.row,
 		Era:      e.eras().own,
 		PeersEra: e.eras().peers,
 	})
@@ -412,6 +422,7 @@
 	e.callSeq++
 	t.pendingCall = e.callSeq
 	t.pendingEras = e.eras()
+	e.versions.pending = e.versions.row
 	t.calledAt = e.now
 	e.emit(effect.Transact{
 		ID: effect.ID{
@@ -437,6 +448,7 @@
 		return
 	}
 	t.written = t.pendingEras
+	e.versions.written = e.versions.pending
 	if !t.registered {
 		t.registered = true
 		e.limiterStale = true
@@ -459,6 +471,7 @@
 	}
 	e.book.SetPeers(live)
 	e.limiterStale = true
+	e.versions.ownersStale = true
 }
 
 // logPeerChange logs a change of the state of a peer.
--- a/core/edge/placement.go
+++ b/core/edge/placement.go
@@ -123,7 +123,12 @@
 
 // rendezvousHash returns the weight of an endpoint for a part.
 func rendezvousHash(part uint64, id waxwingwall.Endpoint) uint64 {
-	h := xxhash.Sum64String(string(id)) ^ part*0x9e3779b97f4a7c15
+	return mix(part, xxhash.Sum64String(string(id)))
+}
+
+// mix returns the weight of a hashed name for a key of rendezvous hashing.
+func mix(key, name uint64) uint64 {
+	h := name ^ key*0x9e3779b97f4a7c15
 	h ^= h >> 32
 	h *= 0xd6e8feb86659fd93
 	return h ^ h>>29
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -160,7 +160,7 @@
 		return
 	}
 	if !ok && r.pin.set {
-		e.endPinned(r)
+		e.refusePinned(r)
 		return
 	}
 	if !ok {
@@ -600,6 +600,7 @@
 	e.cancelAsk(r)
 	e.releaseNext(r)
 	e.releaseSpare(r)
+	delete(e.versions.asks, r.id)
 	delete(e.requests, r.id)
 }
 
--- a/core/edge/version_test.go
+++ b/core/edge/version_test.go
@@ -889,3 +889,73 @@
 	m.feed(i, HeadReceived{Request: r.id, Attempt: 1, Limit: waxwingwall.RateLimit{Named: true, Rate: rate}})
 	delete(edge.requests, r.id)
 }
+
+// TestStreamNoticeOrder guards against routers that know different things of a stream
+// because notices arrived in another order: two builds make it doubtful for good.
+func TestStreamNoticeOrder(t *testing.T) {
+	notices := []StreamNotice{
+		{Stream: 1, Build: 5, Endpoint: "engine-0", Age: 2 * time.Second},
+		{Stream: 1, Build: 5, Endpoint: "engine-1", Age: time.Second},
+		{Stream: 1, Build: 0, Endpoint: "engine-0", Age: 2 * time.Second},
+	}
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		h := newHarness(t)
+		for _, i := range order {
+			h.step(effect.Received{Message: notices[i]})
+		}
+		if rec := h.edge.versions.streams[1]; rec.build != 0 || rec.endpoint != "engine-0" {
+			t.Errorf("in order %v: %+v", order, rec)
+		}
+	}
+}
+
+// TestOldVersionsExpire guards against streams that are refused for a version which is
+// gone, longer than callers take streams up, or taken up at another one before that.
+func TestOldVersionsExpire(t *testing.T) {
+	h := newHarness(t)
+	h.register()
+	old := engines(1)[0]
+	old.Version = "old"
+	h.step(Replicas{Replicas: []waxwingwall.Replica{old}, Revision: 11})
+	h.step(Replicas{Replicas: engines(1), Revision: 12})
+	resumed := call("advice")
+	resumed.Offset = "3"
+	resumed.Resumes = "unknown"
+	if _, out := h.arrive(resumed); has[Dispatch](out) {
+		t.Error("goes on at some version")
+	}
+	for range int((streamRetention + 2*buildSweepInterval) / time.Second) {
+		h.advance(time.Second)
+		h.refresh()
+	}
+	if _, out := h.arrive(resumed); !has[Dispatch](out) {
+		t.Error("does not go on at the only version")
+	}
+}
+
+// TestBuildsOfRows guards against a router that has just started and takes what is listed
+// for all that there was: the rows of routers, also of dead ones, tell of more.
+func TestBuildsOfRows(t *testing.T) {
+	first := newHarness(t)
+	first.register()
+	old := engines(1)[0]
+	old.Version = "old"
+	first.step(Replicas{Replicas: []waxwingwall.Replica{old}, Revision: 11})
+	row := ""
+	for _, a := range first.advance(2 * newBuildDelay) {
+		if w, ok := a.(effect.Transact); ok {
+			row = w.Writes[0].Value
+		}
+	}
+	for text, refused := range map[string]bool{row: true, `{"peers":"10.0.0.9:1","callers":"10.0.0.9:2"}`: false} {
+		h := newHarness(t)
+		dead := waxwingwall.Incarnation{VM: "vm-9", Boot: 1}
+		h.step(Nodes{Snapshot: true, Rows: []waxwingwall.Row{{Key: NodeKey(dead), Version: 1, Value: text}}})
+		resumed := call("advice")
+		resumed.Offset = "3"
+		resumed.Resumes = "unknown"
+		if _, out := h.arrive(resumed); has[Dispatch](out) == refused {
+			t.Errorf("with the row %s: %v", text, out)
+		}
+	}
+}
