core/edge: failing test of streams that began while an entry was old

An endpoint restarts under its ID with another version, and its entry changes 400 ms later. The streams that it begins meanwhile count as of the old version, and go on there:

--- a/core/edge/version_test.go
+++ b/core/edge/version_test.go
@@ -17,8 +17,8 @@
 	streamEvents = 8
 	streamPause  = 40 * time.Millisecond
 
-	// takeUpDelay is the time after which a caller whose answer was interrupted resumes
-	// the stream, and maxTries how often it tries.
+	// takeUpDelay is the usual time after which a caller whose answer was interrupted
+	// resumes the stream, and maxTries how often it tries.
 	takeUpDelay = 100 * time.Millisecond
 	maxTries    = 3
 
@@ -50,6 +50,10 @@
 	revision int64
 	lag      time.Duration
 
+	// takeUp is the time after which a caller whose answer was interrupted resumes the
+	// stream.
+	takeUp time.Duration
+
 	// breakRate is the probability that an endpoint breaks off after an event, leaveRate
 	// that the caller leaves, and silentRate that a resumed try breaks before its first
 	// event.
@@ -138,6 +142,7 @@
 		byAddr:     map[netip.AddrPort]*versionEngine{},
 		revision:   10,
 		lag:        listLag,
+		takeUp:     takeUpDelay,
 		tries:      map[[2]uint64]*versionTry{},
 		refused:    map[string]int{},
 	}
@@ -399,7 +404,7 @@
 	}
 	t.active = false
 	delete(m.tries, m.key(t.router, t.request))
-	m.after(takeUpDelay, func() { m.again(t) })
+	m.after(m.takeUp, func() { m.again(t) })
 }
 
 // callerLeaves makes the caller of a request close its connection.
@@ -740,6 +745,30 @@
 	m.check()
 }
 
+// TestVersionOfOldEntry guards against the same if the entry changes much later, for streams
+// that are taken up after that.
+func TestVersionOfOldEntry(t *testing.T) {
+	t.Parallel()
+	m := newVersionModel(t, 12, 8)
+	engines := m.start("model", "v1", 4)
+	m.run(3 * time.Second)
+	m.streamLoad("advice", 60, 10*time.Second)
+	m.takeUp = 700 * time.Millisecond
+	for _, e := range engines[:2] {
+		m.run(time.Second)
+		m.restartEngine(e, "v2", 400*time.Millisecond)
+		m.leaveRate = 0.2
+		m.run(400 * time.Millisecond)
+		m.leaveRate = 0
+		m.run(2 * time.Second)
+	}
+	m.run(3 * time.Second)
+	m.check()
+	if m.wentOn.all < minTakenUp {
+		t.Errorf("taken up: %+v", m.wentOn)
+	}
+}
+
 // TestVersionRoutersKilled guards against routers that take what is listed now for all
 // that there was: all of them are killed at once while the version changes.
 func TestVersionRoutersKilled(t *testing.T) {
