core/edge: no stream is taken up by the entry of a restarted endpoint

An endpoint that restarts under its ID with another version serves before its entry in the store changes, and longer before the routers' lists do. A stream that it begins meanwhile was recorded with the old version and went on there: an entry tells what was so when it was written.

If an endpoint is listed with another build than before, or anew, the streams that it began since its entry was known to be current, less a second for the registration, are in doubt: the routers' records of them, and requests under way, are marked as of no build, and the router that began the stream informs the owners. A stream that has been taken up at a restarted endpoint before the router's list told of it remains mixed, and goes on nowhere.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -208,7 +208,7 @@
 		t.add(row)
 		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
-		e.endpointListed(r.Service, buildOf(r))
+		e.endpointListed(r.Endpoint, r.Service, 0, buildOf(r))
 		e.log("endpoint_listed", "",
 			field("endpoint", r.Endpoint), field("service", r.Service), field("software", r.Version), field("leaving", r.Leaving),
 			field("revision", t.revision), field("from", from))
@@ -237,10 +237,11 @@
 		t.remove(old)
 		e.limits.Forget(r.Endpoint)
 	}
+	before := old.build
 	old.replica = r
 	old.build = buildOf(r)
 	e.applyNotices(old)
-	e.endpointListed(r.Service, old.build)
+	e.endpointListed(r.Endpoint, r.Service, before, old.build)
 	if moved {
 		t.add(old)
 	}
@@ -268,7 +269,7 @@
 // removeEndpoint removes an endpoint.
 func (e *Edge) removeEndpoint(row *endpoint, from string) {
 	e.endpoints.remove(row)
-	e.buildSeen(row.replica.Service, row.build)
+	e.endpointRemoved(row)
 	e.limits.Forget(row.replica.Endpoint)
 	e.forgetNotices(row.replica)
 	delete(e.endpoints.rows, row.replica.Endpoint)
--- a/core/edge/version.go
+++ b/core/edge/version.go
@@ -36,6 +36,10 @@
 	streamAskTimeout = 200 * time.Millisecond
 	streamAskRetry   = 100 * time.Millisecond
 
+	// registrationLag is how long after its start an endpoint may take to change its
+	// entry in the store.
+	registrationLag = time.Second
+
 	// buildSweepInterval is the time between two sweeps of the builds and streams.
 	buildSweepInterval = time.Second
 
@@ -132,6 +136,21 @@
 	repeated bool
 }
 
+// doubt is a change of the build of an endpoint. Its entry changed at a time, but the
+// endpoint itself may have changed at any time since from; build is the new one.
+type doubt struct {
+	from, at time.Time
+	build    build
+}
+
+// lastListing is the last entry of an endpoint that has been removed.
+type lastListing struct {
+	build build
+
+	// asOf is when the entry was last known to be current, at when it was removed.
+	asOf, at time.Time
+}
+
 // owner is a router that may be told of streams.
 type owner struct {
 	vm     waxwingwall.VM
@@ -156,6 +175,9 @@
 	// asOfBefore is endpoints.asOf before the update that is being applied.
 	asOfBefore time.Time
 
+	doubts  map[waxwingwall.Endpoint]doubt
+	removed map[waxwingwall.Endpoint]lastListing
+
 	// streams are the known streams; order holds their hashes, the oldest first, with one
 	// entry for each confirmation.
 	streams map[uint64]streamRecord
@@ -178,6 +200,8 @@
 func (v *versions) init() {
 	v.seen = map[waxwingwall.Model]map[build]time.Time{}
 	v.settledAt = map[build]time.Time{}
+	v.doubts = map[waxwingwall.Endpoint]doubt{}
+	v.removed = map[waxwingwall.Endpoint]lastListing{}
 	v.streams = map[uint64]streamRecord{}
 	v.asks = map[uint64]*streamAsk{}
 	v.ownersStale = true
@@ -212,6 +236,16 @@
 			}
 		}
 	}
+	for id, d := range v.doubts {
+		if e.now.Sub(d.at) > streamRetention {
+			delete(v.doubts, id)
+		}
+	}
+	for id, l := range v.removed {
+		if e.now.Sub(l.at) > streamRetention {
+			delete(v.removed, id)
+		}
+	}
 	v.expireStreams(e.now)
 }
 
@@ -303,20 +337,89 @@
 	}
 }
 
-// endpointListed records the build of an entry.
-func (e *Edge) endpointListed(service waxwingwall.Model, b build) {
+// endpointListed records the build of an entry. An entry tells what was so when it was
+// written: if an endpoint is listed with another build than before, the streams that it
+// began since the entry was known to be current are in doubt.
+func (e *Edge) endpointListed(id waxwingwall.Endpoint, service waxwingwall.Model, before, now build) {
 	v := &e.versions
-	e.buildSeen(service, b)
-	if _, known := v.settledAt[b]; !known {
-		v.settledAt[b] = e.now
+	e.buildSeen(service, now)
+	if _, known := v.settledAt[now]; !known {
+		v.settledAt[now] = e.now
 		if !v.asOfBefore.IsZero() {
-			v.settledAt[b] = e.now.Add(e.bounds.EndpointDrain)
+			v.settledAt[now] = e.now.Add(e.bounds.EndpointDrain)
+		}
+	}
+	asOf := v.asOfBefore
+	if old, ok := v.removed[id]; ok {
+		delete(v.removed, id)
+		if before == 0 {
+			before = old.build
+			asOf = old.asOf
+		}
+	}
+	if before != 0 && before != now {
+		e.doubtEndpoint(id, now, asOf.Add(-registrationLag))
+	}
+}
+
+// endpointRemoved keeps the build of an entry in case that it is listed anew.
+func (e *Edge) endpointRemoved(row *endpoint) {
+	v := &e.versions
+	e.buildSeen(row.replica.Service, row.build)
+	v.removed[row.replica.Endpoint] = lastListing{
+		build: row.build,
+		asOf:  v.asOfBefore,
+		at:    e.now,
+	}
+}
+
+// doubtEndpoint marks the streams that an endpoint began from a time on as in doubt, and
+// informs their owners.
+func (e *Edge) doubtEndpoint(id waxwingwall.Endpoint, now build, from time.Time) {
+	v := &e.versions
+	v.doubts[id] = doubt{
+		from:  from,
+		at:    e.now,
+		build: now,
+	}
+	var doubted []uint64
+	for stream, rec := range v.streams {
+		if rec.build != 0 && v.inDoubt(rec.endpoint, rec.sentAt, rec.build) {
+			doubted = append(doubted, stream)
+		}
+	}
+	slices.Sort(doubted)
+	for _, stream := range doubted {
+		rec := v.streams[stream]
+		rec.build = 0
+		v.streams[stream] = rec
+		if rec.own {
+			e.sendNotice(stream, rec)
 		}
 	}
+	for _, r := range e.requests {
+		if !r.pin.set {
+			continue
+		}
+		goesOn := r.endpoint != nil && v.inDoubt(r.endpoint.replica.Endpoint, r.sentAt, r.sentBuild)
+		if goesOn || v.inDoubt(r.pin.endpoint, r.pin.sentAt, r.pin.build) {
+			r.pin.build = 0
+		}
+	}
+	e.log("version_changed", "", field("endpoint", id), field("streams_doubted", len(doubted)), field("since", e.now.Sub(from)))
+}
+
+// inDoubt reports whether a stream that an endpoint began may be of another build.
+func (v *versions) inDoubt(id waxwingwall.Endpoint, sentAt time.Time, b build) bool {
+	d, ok := v.doubts[id]
+	return ok && !sentAt.Before(d.from) && b != d.build
 }
 
 // learnStream merges what is known of a stream. The result doesn't depend on the order.
 func (v *versions) learnStream(now time.Time, stream uint64, rec streamRecord) streamRecord {
+	if v.inDoubt(rec.endpoint, rec.sentAt, rec.build) {
+		rec.build = 0
+	}
 	if old, ok := v.streams[stream]; ok {
 		if old.build != rec.build {
 			rec.build = 0
@@ -419,6 +522,9 @@
 	if r.pin.endpoint == "" {
 		r.pin.endpoint = r.endpoint.replica.Endpoint
 		r.pin.sentAt = r.sentAt
+		if e.versions.inDoubt(r.pin.endpoint, r.pin.sentAt, r.pin.build) {
+			r.pin.build = 0
+		}
 	}
 	r.pin.recorded = true
 	if r.streamName() == "" {
