core/edge: builds that came and went while a router had no news of the store

A router knows of a version by its own list. One that came and went while it was frozen, or without the store, was unknown to it, and it could take a stream of that version up at the only one that it knew. After a gap in its list a router now takes over the builds in the rows of the others for 3 s.

The lines of the log that tell why a stream was not taken up, or went on nowhere, have names of their own, and are kept as other refusals are. The tests count the messages and bytes about streams, and a benchmark the memory of a record.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -141,7 +141,7 @@
 	if asOf.IsZero() {
 		asOf = e.now
 	}
-	e.versions.asOfBefore = t.asOf
+	e.beforeReplicas(ev.Snapshot)
 	if asOf.After(t.asOf) {
 		t.asOf = asOf
 	}
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -335,7 +335,7 @@
 	t := &e.endpoints
 	m.Replicas = validReplicas(m.Replicas)
 	if m.Revision > t.revision && (t.storeUnavailable || !t.complete) {
-		e.versions.asOfBefore = t.asOf
+		e.beforeReplicas(true)
 		e.mergeReplicas(Replicas{
 			Snapshot: true,
 			Replicas: m.Replicas,
--- a/core/edge/version.go
+++ b/core/edge/version.go
@@ -40,6 +40,10 @@
 	// entry in the store.
 	registrationLag = time.Second
 
+	// adoptTime is how long a router takes over builds from the rows of others after a gap
+	// in its own list: longer than these take to write them.
+	adoptTime = 3 * time.Second
+
 	// buildSweepInterval is the time between two sweeps of the builds and streams.
 	buildSweepInterval = time.Second
 
@@ -172,6 +176,9 @@
 	// if nothing has changed.
 	changedWithin time.Duration
 
+	// adoptUntil is until when builds are taken over from the rows of routers.
+	adoptUntil time.Time
+
 	// asOfBefore is endpoints.asOf before the update that is being applied.
 	asOfBefore time.Time
 
@@ -227,6 +234,9 @@
 	for _, row := range e.endpoints.rows {
 		e.buildSeen(row.replica.Service, row.build)
 	}
+	if e.now.Before(v.adoptUntil) {
+		e.adoptBuilds()
+	}
 	for _, builds := range v.seen {
 		for b, at := range builds {
 			if e.now.Sub(at) > streamRetention {
@@ -325,8 +335,19 @@
 	return len(a) == len(b) && !slices.ContainsFunc(a, func(x build) bool { return !slices.Contains(b, x) })
 }
 
-// adoptBuilds takes over the builds in the rows of all routers, also dead ones, when this
-// router reads them for the first time. They expire as its own do.
+// beforeReplicas notes how old the list was before an update of the endpoints. What was
+// listed and removed in a longer gap is known from the rows of other routers alone.
+func (e *Edge) beforeReplicas(snapshot bool) {
+	t := &e.endpoints
+	e.versions.asOfBefore = t.asOf
+	if t.complete && (snapshot || t.age(e.now) > e.bounds.EndpointDrain) {
+		e.versions.adoptUntil = e.now.Add(adoptTime)
+	}
+}
+
+// adoptBuilds takes over the builds in the rows of all routers, also dead ones: when this
+// router reads them for the first time, and after a gap in its own list. They expire as its
+// own do.
 func (e *Edge) adoptBuilds() {
 	for _, n := range e.nodes.rows {
 		for service, builds := range n.row.Builds {
@@ -744,7 +765,7 @@
 		sentAt:   rec.sentAt,
 	}
 	if rec.build == 0 {
-		e.logResumption(r, "in_doubt", nil)
+		e.logResumptionRefused(r, "in_doubt")
 		e.refuse(r, e.unavailableProblem("version_unknown", "the software version that began the stream is in doubt", 0))
 		return false
 	}
@@ -752,7 +773,9 @@
 		for _, row := range e.endpoints.byService[s.Service] {
 			if row.build == rec.build && row.usable() {
 				r.service = s.Service
-				e.logResumption(r, "pinned", row)
+				e.log("resumed", r.call.ID, field("resumes", r.call.Resumes), field("source", source),
+					field("service", s.Service), field("software", row.replica.Version),
+					field("after", e.now.Sub(r.arrived)), field("began_at", r.pin.endpoint))
 				return true
 			}
 		}
@@ -763,7 +786,7 @@
 
 // refuseUnknown refuses a request that takes up a stream that nobody in reach knows.
 func (e *Edge) refuseUnknown(r *request, a *streamAsk) {
-	e.log("resumption", r.call.ID, field("resumes", r.call.Resumes), field("result", "unknown"),
+	e.log("resumption_refused", r.call.ID, field("resumes", r.call.Resumes), field("reason", "unknown"),
 		field("asked", len(a.asked)), field("answered", a.answers), field("after", e.now.Sub(r.arrived)),
 		field("builds", len(e.versions.seen[r.service])), field("current", e.versionsCurrent()))
 	e.refuse(r, e.unavailableProblem("version_unknown", "no router in reach knows the software version that began the stream", defaultRetryAfter))
@@ -776,7 +799,7 @@
 		e.fail(r, Unreachable)
 		return
 	}
-	e.logResumption(r, "no_endpoint", nil)
+	e.logResumptionRefused(r, "no_endpoint")
 	retryAfter := time.Duration(0)
 	if r.pin.source == sourceOnlyVersion {
 		retryAfter = defaultRetryAfter
@@ -784,17 +807,10 @@
 	e.refuse(r, e.unavailableProblem("version_gone", "no endpoint of the software version that began the stream can run the request", retryAfter))
 }
 
-// logResumption logs what follows for a request that takes a stream up; row is an endpoint
-// of its build, if there is one.
-func (e *Edge) logResumption(r *request, result string, row *endpoint) {
-	fields := []Field{
-		field("resumes", r.call.Resumes), field("result", result), field("source", r.pin.source),
-		field("after", e.now.Sub(r.arrived)), field("began_at", r.pin.endpoint),
-	}
-	if row != nil {
-		fields = append(fields, field("service", row.replica.Service), field("software", row.replica.Version))
-	}
-	e.log("resumption", r.call.ID, fields...)
+// logResumptionRefused logs why a request of a known stream is refused.
+func (e *Edge) logResumptionRefused(r *request, reason string) {
+	e.log("resumption_refused", r.call.ID, field("resumes", r.call.Resumes), field("reason", reason),
+		field("source", r.pin.source), field("after", e.now.Sub(r.arrived)), field("began_at", r.pin.endpoint))
 }
 
 // onlyBuild returns the build of the stream that a caller takes up if, of all that was
--- a/core/edge/version_test.go
+++ b/core/edge/version_test.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"encoding/gob"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strconv"
 	"testing"
@@ -65,6 +67,12 @@
 	names func(s *versionStream) string
 	next  func() int
 
+	// messages and bytes count what routers send each other about streams, as gob on a
+	// connection that is open already.
+	messages int
+	bytes    countingWriter
+	encoder  *gob.Encoder
+
 	// once is set if callers don't take streams up.
 	once bool
 
@@ -81,6 +89,14 @@
 	refused map[string]int
 }
 
+// countingWriter counts bytes.
+type countingWriter int
+
+func (w *countingWriter) Write(b []byte) (int, error) {
+	*w += countingWriter(len(b))
+	return len(b), nil
+}
+
 // share counts successes among attempts.
 type share struct {
 	all, done int
@@ -146,6 +162,13 @@
 		tries:      map[[2]uint64]*versionTry{},
 		refused:    map[string]int{},
 	}
+	m.encoder = gob.NewEncoder(&m.bytes)
+	for _, message := range []any{StreamNotice{}, AskStream{}, StreamAnswer{}} {
+		gob.Register(message)
+		m.count(effect.Send{To: m.incarnation(0), Message: message})
+	}
+	m.messages = 0
+	m.bytes = 0
 	m.limitModel.perform = m.performAction
 	m.limitModel.list = m.listed
 	m.config.Version = 2
@@ -456,12 +479,26 @@
 		}
 	case Finished:
 		delete(m.tries, m.key(i, a.Request))
+	case effect.Send:
+		m.count(a)
+		return false
 	default:
 		return false
 	}
 	return true
 }
 
+// count counts a message about streams.
+func (m *versionModel) count(a effect.Send) {
+	switch a.Message.(type) {
+	case StreamNotice, AskStream, StreamAnswer:
+		m.messages++
+		if err := m.encoder.Encode(a); err != nil {
+			m.t.Fatal(err)
+		}
+	}
+}
+
 // serve sends a request to an endpoint, which answers it.
 func (m *versionModel) serve(i, life int, d Dispatch) {
 	t := m.tries[m.key(i, d.Request)]
@@ -585,7 +622,8 @@
 func (m *versionModel) check() {
 	m.t.Helper()
 	n, unknowable := m.mixed()
-	m.t.Logf("%d streams, %d mixed; new %+v, taken up %+v; refused %v", len(m.streams), n, m.began, m.wentOn, m.refused)
+	m.t.Logf("%d streams, %d mixed; new %+v, taken up %+v; refused %v; %d messages, %d bytes",
+		len(m.streams), n, m.began, m.wentOn, m.refused, m.messages, m.bytes)
 	if n > unknowable || unknowable > maxUnknowable {
 		m.t.Errorf("%d of %d streams hold events of two versions, %d as a list was old", n, len(m.streams), unknowable)
 	}
@@ -988,3 +1026,48 @@
 		}
 	}
 }
+
+// TestVersionInGap guards against a router that was without news of the store while a
+// version came and went, and takes up its streams at another one.
+func TestVersionInGap(t *testing.T) {
+	h := newHarness(t)
+	h.register()
+	h.advance(2 * h.edge.bounds.EndpointDrain)
+	h.refresh()
+	peer := waxwingwall.Incarnation{VM: "vm-9", Boot: 1}
+	h.step(Nodes{Rows: []waxwingwall.Row{{
+		Key:     NodeKey(peer),
+		Version: 2,
+		Value:   `{"peers":"10.0.0.9:1","callers":"10.0.0.9:2","builds":{"model":[7]}}`,
+	}}})
+	h.advance(2 * buildSweepInterval)
+	resumed := call("advice")
+	resumed.Offset = "3"
+	resumed.Resumes = "unknown"
+	if _, out := h.arrive(resumed); has[Dispatch](out) {
+		t.Error("goes on at some version")
+	}
+}
+
+// BenchmarkStreamRecord reports the memory of what a router knows of one stream.
+func BenchmarkStreamRecord(b *testing.B) {
+	for range b.N {
+		var before, after runtime.MemStats
+		var v versions
+		v.init()
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		now := time.Unix(1_800_000_000, 0)
+		for i := range maxStreams {
+			v.learnStream(now, mix(uint64(i), 1), streamRecord{
+				build:    5,
+				endpoint: "engine-0",
+				sentAt:   now,
+			})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/maxStreams, "B/stream")
+		runtime.KeepAlive(&v)
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -23,6 +23,9 @@
 	"no_endpoint":        true,
 	"retry_budget_spent": true,
 	"crash_counted":      true,
+
+	"resumption_refused":     true,
+	"no_endpoint_of_version": true,
 }
 
 // logEntry logs an entry unless the sampler omits it, and counts it in the metrics.
