core/edge: a resumed stream waits out the pauses of its own version

A stream whose version has paused endpoints only was refused as if the version were gone, without the time at which it may be asked again; endpoints of other versions counted as free. TestAllEndpointsPaused covers resumed streams; it now lets the router know the fleet, as a router that doesn't asks its peers first.

--- a/core/edge/pause.go
+++ b/core/edge/pause.go
@@ -93,7 +93,7 @@
 func (e *Edge) pausedProblem(r *request) *waxwingwall.Problem {
 	var first time.Time
 	for _, row := range e.endpoints.byService[r.service] {
-		if row.departing() {
+		if row.departing() || r.pin.set && row.build != r.pin.build {
 			continue
 		}
 		if !row.paused {
--- a/core/edge/pause_test.go
+++ b/core/edge/pause_test.go
@@ -155,6 +155,7 @@
 // of whose endpoints asked for a pause, or are held, or refused with a shorter time.
 func TestAllEndpointsPaused(t *testing.T) {
 	h := newHarness(t)
+	h.step(Nodes{Snapshot: true})
 	for i := range 4 {
 		h.pause(waxwingwall.Endpoint(fmt.Sprintf("engine-%d", i)), 0, time.Duration(i+5)*time.Second)
 	}
--- a/core/edge/version.go
+++ b/core/edge/version.go
@@ -771,7 +771,7 @@
 	}
 	for _, s := range r.route.Services {
 		for _, row := range e.endpoints.byService[s.Service] {
-			if row.build == rec.build && row.usable() {
+			if row.build == rec.build && !row.departing() {
 				r.service = s.Service
 				e.log("resumed", r.call.ID, field("resumes", r.call.Resumes), field("source", source),
 					field("service", s.Service), field("software", row.replica.Version),
@@ -799,6 +799,10 @@
 		e.fail(r, Unreachable)
 		return
 	}
+	if p := e.pausedProblem(r); p != nil {
+		e.refuse(r, p)
+		return
+	}
 	e.logResumptionRefused(r, "no_endpoint")
 	retryAfter := time.Duration(0)
 	if r.pin.source == sourceOnlyVersion {
