core/config, core/sched: version of an endpoint's software in the document

An endpoint may have a key version, a name as others, which reaches the scheduler's table of endpoints. It has no effect yet. A document without versions has the same text as before.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -150,6 +150,10 @@
 	// Price is the cost of one call of a service, in tokens; 0 for models.
 	Price waxwingwall.Tokens `json:"price"`
 
+	// Version is the version of its software; empty if the document names none. The
+	// output of two versions doesn't fit together in one answer.
+	Version string `json:"version"`
+
 	// Leaving means that it gets no new requests.
 	Leaving bool `json:"leaving"`
 }
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"waxwingwall"
+	"waxwingwall/core/config/ini"
 )
 
 const sample = `
@@ -125,6 +126,32 @@
 	}
 }
 
+// TestEndpointVersion guards against odd versions of endpoints in force, and against
+// another text of a document that names none, which routers would exchange anew.
+func TestEndpointVersion(t *testing.T) {
+	long := strings.Repeat("v", ini.MaxNameBytes+1)
+	for text, want := range map[string]string{
+		"v1.1":   "",
+		"7":      "",
+		"v 1":    `[endpoint m1] version: "v 1" is not a name`,
+		"v1, v2": `[endpoint m1] version: "v1, v2" is not a name`,
+		long:     fmt.Sprintf("[endpoint m1] version: name of %d bytes, the maximum is %d", len(long), ini.MaxNameBytes),
+	} {
+		d, err := Parse([]byte(strings.Replace(sample, "models = b, a\n", "models = b, a\nversion = "+text+"\n", 1)))
+		e, _ := d.Endpoint("m1")
+		switch {
+		case want == "" && (err != nil || e.Version != text):
+			t.Errorf("%q: got %q, %v", text, e.Version, err)
+		case want != "" && (err == nil || !strings.HasSuffix(err.Error(), want)):
+			t.Errorf("%q: got %v, want %v", text, err, want)
+		}
+	}
+	d, err := Parse([]byte(sample))
+	if err != nil || strings.Contains(d.String(), "version") {
+		t.Errorf("got %v, %v", d, err)
+	}
+}
+
 func TestKeys(t *testing.T) {
 	key, hash, err := NewKey(strings.NewReader(strings.Repeat("r", KeyBytes)))
 	if err != nil {
@@ -203,6 +230,7 @@
 			Idempotent:  rapid.Bool().Draw(t, "idempotent"),
 			Concurrency: rapid.IntRange(1, 100).Draw(t, "concurrency"),
 			TokenRate:   rapid.Float64Range(0.1, 1000).Draw(t, "rate"),
+			Version:     rapid.SampledFrom([]string{"", "v1", "v1.1", "2026-01-01"}).Draw(t, "version"),
 			Leaving:     rapid.Bool().Draw(t, "leaving"),
 		})
 	}
--- a/core/config/format.go
+++ b/core/config/format.go
@@ -88,6 +88,9 @@
 	} else {
 		fmt.Fprintf(b, "price = %d\n", e.Price)
 	}
+	if e.Version != "" {
+		fmt.Fprintf(b, "version = %s\n", e.Version)
+	}
 	fmt.Fprintf(b, "leaving = %t\n", e.Leaving)
 }
 
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -180,6 +180,7 @@
 		Fencing:     ini.Get(s, "fencing", ini.Bool, false),
 		Idempotent:  ini.Get(s, "idempotent", ini.Bool),
 		Concurrency: ini.Get(s, "concurrency", ini.Int(1, maxConcurrency), defaultConcurrency),
+		Version:     ini.Get(s, "version", ini.Name[string], ""),
 		Leaving:     ini.Get(s, "leaving", ini.Bool, false),
 	}
 	rate := ini.Get(s, "token_rate", ini.Float(1/maxTokenRate, maxTokenRate), defaultTokenRate)
--- a/core/configure.go
+++ b/core/configure.go
@@ -45,6 +45,7 @@
 			Service:     e.Kind == config.ServiceKind,
 			Concurrency: e.Concurrency,
 			TokenRate:   e.TokenRate,
+			Version:     e.Version,
 			Leaving:     e.Leaving || slices.Contains(n.leaving.endpoints, e.Name),
 		})
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -83,6 +83,9 @@
 	// The Scheduler does not use it.
 	TokenRate float64
 
+	// Version is the version of its software; empty if it is not named.
+	Version string
+
 	// Leaving is set while the endpoint drains and gets no new requests.
 	Leaving bool
 }
