core/sched, test: answers that are continued while two versions serve, failing

An interrupted generation is resumed at any engine of its model: by the scheduler after a failure, an idle timeout or a preemption, and by the gateway at another owner. The output of two versions is then joined in one answer.

--- a/sim/engine.go
+++ b/sim/engine.go
@@ -265,6 +265,7 @@
 		Endpoint:     e.Name,
 		Prompt:       promptDigest(prompt),
 		PromptTokens: PromptTokens(request.Messages),
+		ContinueFrom: request.ContinueFrom,
 		State:        Queued,
 	}
 	priority, _ := strconv.Atoi(r.Header.Get(HeaderPriority))
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -46,6 +46,9 @@
 	total     waxwingwall.Tokens
 	exchanges []exchange
 	dir       string
+
+	// versions are those of the engines; without them there are two that name none.
+	versions []string
 }
 
 // router is one router process.
@@ -61,11 +64,12 @@
 
 // newFleet starts the stand-ins and n routers, and waits until all of them serve;
 // see awaitServing. total is the prepaid amount of the budget.
-func newFleet(n int, total waxwingwall.Tokens) *fleet {
+func newFleet(n int, total waxwingwall.Tokens, versions ...string) *fleet {
 	GinkgoHelper()
 	f := &fleet{
-		total: total,
-		dir:   GinkgoT().TempDir(),
+		total:    total,
+		dir:      GinkgoT().TempDir(),
+		versions: versions,
 	}
 	f.startWorld(n)
 	f.provision()
@@ -89,7 +93,7 @@
 			Duration: 20 * time.Millisecond,
 		}),
 	}
-	for i := range engines {
+	for i := range max(engines, len(f.versions)) {
 		opts = append(opts, sim.WithEngine(sim.EngineConfig{
 			Name:      fmt.Sprintf("engine-%d", i+1),
 			Batch:     32,
@@ -170,6 +174,9 @@
 	for i, e := range f.world.Engines {
 		fmt.Fprintf(&b, "[endpoint %s]\naddress = %s\nkind = model\nmodels = %s\ndomain = d%d\nidempotent = true\nconcurrency = 32\n",
 			e.Name, e.ListenAddress(), model, i+1)
+		if len(f.versions) > 0 {
+			fmt.Fprintf(&b, "version = %s\n", f.versions[i])
+		}
 	}
 	fmt.Fprintf(&b, "[endpoint %s]\naddress = %s\nkind = service\nmodels = %s\ndomain = d1\nidempotent = false\n",
 		orders, f.world.Services[0].ListenAddress(), orders)
