core/sched, core, router: continue an answer only at the version that began it

What callers saw: while engines of two software versions serve one model, an answer that is interrupted is joined from the output of both.

Cause: a job with output is dispatched to any endpoint of its model, after a failure, an idle timeout or a preemption; a gateway whose owner died hands on the output without a word of what produced it; and a cancelled attempt may have appended output that was not reported yet, which the next attempt continues.

Fix: the scheduler keeps the version of a job's output and dispatches the job only to endpoints of it. While they are in backoff or full, the job waits without holding up others of its queue or preempting work elsewhere; if none is left, it ends as refused, with an unknown outcome. The version of the frames travels to the gateway and, with Request.Prior, to the next owner. A run rejects an attempt at another version than its frames, and a gateway does not join its answer with a run that another caller's gateway began at another version. Endpoints that name no version are of one version, so nothing changes without the key.

An attempt is also not started if its endpoint's version changed in the document after the dispatch.

--- a/core/events.go
+++ b/core/events.go
@@ -58,6 +58,10 @@
 	// Failure is sched.None if the answer is complete.
 	Failure sched.Failure
 
+	// Version is the version that produced the output if Failure is
+	// sched.OtherVersion.
+	Version string
+
 	// Finish is the finish reason of a complete answer.
 	Finish string
 
@@ -93,6 +97,10 @@
 	// Address is the endpoint's address.
 	Address netip.AddrPort
 
+	// Version is the version of the endpoint's software. Output of another version must
+	// not be continued; the attempt ends with sched.OtherVersion then.
+	Version string
+
 	// NewConnection requires a new connection.
 	NewConnection bool
 
--- a/core/node_test.go
+++ b/core/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -419,3 +420,59 @@
 		"small-main": 1000,
 	})
 }
+
+// versionsDocument returns fleetDocument with four engines of two versions.
+func versionsDocument() string {
+	text := strings.Replace(fleetDocument, "10.1.0.1:1\n", "10.1.0.1:1\nversion = v1\n", 1)
+	text = strings.Replace(text, "10.1.0.2:1\n", "10.1.0.2:1\nversion = v2\n", 1)
+	for i, v := range []string{"v1", "v2"} {
+		text += fmt.Sprintf("\n[endpoint f%d]\naddress = 10.1.1.%d:1\nversion = %s\nkind = model\nmodels = m\ndomain = domain%d\nconcurrency = 16\nidempotent = true\n", i, i, v, i)
+	}
+	return text
+}
+
+// TestVersionsStayApart guards against output that is continued at an engine of another
+// version, after crashes of engines and at another owner (fake.World checks each attempt),
+// and against a request that is refused as not run though its caller has output.
+func TestVersionsStayApart(t *testing.T) {
+	w := fake.New(4, 1, t.Fatalf)
+	document := w.Configure(versionsDocument())
+	for _, b := range []waxwingwall.Budget{"large-main", "small-main"} {
+		w.TopUp(b, "1", 100_000)
+	}
+	for _, h := range w.Hosts {
+		w.Boot(h)
+	}
+	w.Run(5 * time.Second)
+	w.CrashProbability = 0.2
+	var clients []*fake.Client
+	for n := range 120 {
+		r := request(t, document, n)
+		if !r.Service && n%4 < 2 {
+			r.Prior = []waxwingwall.Frame{{Text: "a "}, {Text: "b "}}
+			r.PriorVersion = []string{"v1", "v2", "v3", ""}[n/4%4]
+		}
+		c := &fake.Client{
+			Request:  r,
+			MaxTries: 1,
+		}
+		clients = append(clients, c)
+		w.After(time.Duration(n)*100*time.Millisecond, func() { w.Submit(c) })
+	}
+	w.Run(40 * time.Second)
+	resumed := 0
+	for _, c := range clients {
+		r := c.Request
+		served := len(r.Prior) == 0 || r.PriorVersion == "v1" || r.PriorVersion == "v2"
+		runs := w.Runs[r.Identity]
+		if !served && (runs > 0 || c.NotRun || len(c.Codes) == 0) {
+			t.Errorf("%v with output of %q: %d runs, not run %t, codes %v", r.Identity, r.PriorVersion, runs, c.NotRun, c.Codes)
+		}
+		if len(r.Prior) > 0 && c.Ran || runs > 1 {
+			resumed++
+		}
+	}
+	if resumed < 20 {
+		t.Errorf("%d requests resumed, want at least 20", resumed)
+	}
+}
--- a/core/request.go
+++ b/core/request.go
@@ -200,6 +200,8 @@
 		Prefix:      q.Prefix,
 		Fingerprint: q.Digest,
 		Prompt:      q.Prompt,
+		Output:      q.output,
+		Version:     q.PriorVersion,
 		MaxOutput:   q.MaxOutput,
 	})
 	if v.Decision == sched.Refused {
@@ -317,10 +319,10 @@
 
 // startAttempt emits StartAttempt; from then on the request may have run. It
 // refuses the request if this incarnation is closed, the endpoint is no longer
-// configured or the claim may not be dispatched.
+// configured with the version of the dispatch or the claim may not be dispatched.
 func (n *Node) startAttempt(now time.Time, q *request) {
 	e, ok := n.document.Endpoint(q.next.Endpoint)
-	if n.closed || !ok || (!q.alreadyBilled && !n.Ledger.Dispatched(now, q.Identity)) {
+	if n.closed || !ok || e.Version != q.next.Version || (!q.alreadyBilled && !n.Ledger.Dispatched(now, q.Identity)) {
 		n.withdraw(now, q.Identity)
 		n.refuse(now, q.Identity, unavailable("endpoint_gone", "the endpoint has left", time.Second))
 		return
@@ -333,6 +335,7 @@
 		Attempt:       q.next.Attempt,
 		Endpoint:      q.next.Endpoint,
 		Address:       e.Address,
+		Version:       e.Version,
 		NewConnection: q.next.NewConnection,
 		Limited:       q.next.Limited,
 	})
@@ -413,6 +416,7 @@
 		Attempt:  e.Attempt,
 		Tokens:   e.Output,
 		Failure:  e.Failure,
+		Version:  e.Version,
 
 		RetryAfter: e.RetryAfter,
 	}))
--- a/core/sched/dump.go
+++ b/core/sched/dump.go
@@ -59,8 +59,9 @@
 
 // EndpointDump is the state of one endpoint.
 type EndpointDump struct {
-	// Name is the name of the endpoint.
-	Name waxwingwall.Endpoint `json:"name"`
+	// Name is the name of the endpoint, Version that of its software.
+	Name    waxwingwall.Endpoint `json:"name"`
+	Version string               `json:"version"`
 
 	// InFlight counts this router's attempts, PeerInFlight those of the peers.
 	InFlight     int `json:"in_flight"`
@@ -99,6 +100,7 @@
 	for _, e := range s.endpoints {
 		d.Endpoints = append(d.Endpoints, EndpointDump{
 			Name:          e.spec.Name,
+			Version:       e.spec.Version,
 			InFlight:      len(e.running),
 			PeerInFlight:  e.peerInFlight,
 			Window:        e.window,
--- a/core/sched/event.go
+++ b/core/sched/event.go
@@ -31,6 +31,10 @@
 	// Cancelled means that the attempt was cancelled by a Cancel action or
 	// because the caller disconnected.
 	Cancelled
+
+	// OtherVersion means that the attempt was not sent: an earlier attempt has output of
+	// another version that had not been reported when this one was dispatched.
+	OtherVersion
 )
 
 // FirstToken reports the first token of an attempt.
@@ -73,6 +77,9 @@
 	// RetryAfter is the time for which the endpoint, which was unavailable, asks to be
 	// sent nothing; zero if it doesn't.
 	RetryAfter time.Duration
+
+	// Version is the version that produced the output if Failure is OtherVersion.
+	Version string
 }
 
 // LoadReport is an endpoint's report of its load. It arrives with a delay.
@@ -119,8 +126,9 @@
 	// Attempt counts the dispatches of the request, starting at 1.
 	Attempt int
 
-	// Endpoint is the endpoint that runs the attempt.
+	// Endpoint is the endpoint that runs the attempt, Version that of its software.
 	Endpoint waxwingwall.Endpoint
+	Version  string
 
 	// Resume is set if an earlier attempt produced output; the driver continues
 	// after the last token that the caller received.
--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -132,10 +132,10 @@
 	s.limits.Ask(now, ask)
 }
 
-// hasUnlimited reports whether a usable endpoint without a limit serves a job's model.
+// hasUnlimited reports whether a usable endpoint without a limit may run a job.
 func (s *Scheduler) hasUnlimited(now time.Time, j *job) bool {
 	for _, e := range j.pool.endpoints {
-		if e.usable(now) && e.serves(j.work.Model) && !s.limits.Limited(e.spec.Name) {
+		if e.usable(now) && j.mayRunOn(e) && !s.limits.Limited(e.spec.Name) {
 			return true
 		}
 	}
--- a/core/sched/offer.go
+++ b/core/sched/offer.go
@@ -83,10 +83,15 @@
 		offeredAt: now,
 		queuedAt:  now,
 		deadline:  w.Deadline,
+		tokens:    w.Output,
+		version:   w.Version,
 		pool:      p,
 		class:     c,
 		flow:      s.flow(c, w.Account, w.Model),
 	}
+	if !p.servesVersion(j) {
+		return nil, s.noEndpointProblem(j)
+	}
 	if j.deadline.IsZero() {
 		j.deadline = now.Add(c.spec.FirstToken)
 	}
--- a/core/sched/place.go
+++ b/core/sched/place.go
@@ -39,8 +39,7 @@
 // affine endpoint has room may bypass the head of the queue, a bounded number
 // of times.
 func (s *Scheduler) pick(now time.Time, f *flow) (*job, *endpoint) {
-	head := f.queue[0]
-	e := s.chooseEndpoint(now, head)
+	head, e := s.firstThatFits(now, f)
 	if e == nil || !s.affinity || head.attempt > 0 || head.bypassed >= maxBypassed {
 		return head, e
 	}
@@ -57,6 +56,20 @@
 	return head, e
 }
 
+// firstThatFits returns the first job of a queue and its endpoint. Jobs with output that
+// wait for an endpoint of its version don't hold up the others.
+func (s *Scheduler) firstThatFits(now time.Time, f *flow) (*job, *endpoint) {
+	for _, j := range f.queue {
+		if j.ask != 0 {
+			return j, nil
+		}
+		if e := s.chooseEndpoint(now, j); e != nil || j.tokens == 0 {
+			return j, e
+		}
+	}
+	return f.queue[0], nil
+}
+
 // affineEndpoint returns the usable endpoint with the highest rendezvous hash
 // for the job's prefix.
 func (s *Scheduler) affineEndpoint(now time.Time, j *job) *endpoint {
@@ -130,7 +143,7 @@
 
 // hasRoom is fits for endpoints with and without limits.
 func (s *Scheduler) hasRoom(now time.Time, j *job, e *endpoint) bool {
-	if !e.usable(now) || !e.serves(j.work.Model) {
+	if !e.usable(now) || !j.mayRunOn(e) {
 		return false
 	}
 	load := e.load()
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -24,40 +24,56 @@
 // youngest job of the lowest rank that exceeds its share, to be resumed later.
 // It returns nil if there is no need or no such job.
 func (s *Scheduler) preempt(now time.Time, p *pool) effect.Action {
-	if !p.urgentWaits(now) || s.preemptions.Left() < 1 {
+	all := p.urgentWaiting(now)
+	if s.preemptions.Left() < 1 {
 		return nil
 	}
-	for i := len(p.classes) - 1; i > 0; i-- {
-		c := p.classes[i]
-		if float64(c.inFlight) <= p.room(c) {
-			continue
-		}
-		if j := s.youngest(now, p, c); j != nil {
-			return s.requeue(now, j)
+	for _, waiting := range all {
+		for i := len(p.classes) - 1; i > 0; i-- {
+			c := p.classes[i]
+			if float64(c.inFlight) <= p.room(c) {
+				continue
+			}
+			if j := s.youngest(now, p, c, waiting); j != nil {
+				return s.requeue(now, j)
+			}
 		}
 	}
 	return nil
 }
 
-// urgentWaits reports whether work of the most urgent class has waited too long
-// although the router's share allows its dispatch. Work that waits for a permit does not
-// count, as a free slot is of no use to it.
-func (p *pool) urgentWaits(now time.Time) bool {
+// urgentWaiting returns the work of the most urgent class that has waited too long
+// although the router's share allows its dispatch: the head of each flow, and what it
+// doesn't hold up. Work that waits for a permit does not count, as a free slot is of no
+// use to it.
+func (p *pool) urgentWaiting(now time.Time) []*job {
 	top := p.classes[0]
 	limit := time.Duration(preemptWaitFraction * float64(top.spec.FirstToken))
+	var waiting []*job
 	for _, f := range top.flows {
-		if len(f.queue) > 0 && f.queue[0].ask == 0 && now.Sub(f.queue[0].offeredAt) > limit {
-			return p.mayStart(now, top)
+		for _, j := range f.queue {
+			if j.ask == 0 && now.Sub(j.offeredAt) > limit {
+				waiting = append(waiting, j)
+			}
+			if j.ask != 0 || j.tokens == 0 {
+				break
+			}
 		}
 	}
-	return false
+	if len(waiting) > 0 && !p.mayStart(now, top) {
+		return nil
+	}
+	return waiting
 }
 
 // youngest returns the idempotent job of a class that was offered last, among
-// those on endpoints where its slot becomes free.
-func (s *Scheduler) youngest(now time.Time, p *pool, c *class) *job {
+// those on endpoints where its slot becomes free and the waiting job may use it.
+func (s *Scheduler) youngest(now time.Time, p *pool, c *class, waiting *job) *job {
 	var best *job
 	for _, e := range p.endpoints {
+		if waiting.tokens > 0 && e.spec.Version != waiting.version {
+			continue
+		}
 		if !e.usable(now) || s.limits.Limited(e.spec.Name) || float64(e.load()) > e.window {
 			continue
 		}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -12,7 +12,8 @@
 // Dispatched work stays in the table until the driver reports Finished. A
 // failed attempt of idempotent work may then be dispatched again, within a
 // retry budget, and otherwise ends with Refuse. Non-idempotent work is
-// dispatched at most once.
+// dispatched at most once. Work with output is only dispatched to endpoints of the
+// version that produced it; it waits for them, or ends with Refuse if there are none.
 //
 // All actions are returned by Step. Offer and Withdraw only change the tables,
 // so the driver calls Step after them, with effect.Tick if there is no other
@@ -83,7 +84,8 @@
 	// The Scheduler does not use it.
 	TokenRate float64
 
-	// Version is the version of its software; empty if it is not named.
+	// Version is the version of its software; endpoints that name none are of one
+	// version. Output is only continued at the version that produced it.
 	Version string
 
 	// Leaving is set while the endpoint drains and gets no new requests.
@@ -127,6 +129,11 @@
 	// Prompt is the length of the prompt in tokens.
 	Prompt waxwingwall.Tokens
 
+	// Output is the number of tokens that the caller already has from another owner;
+	// Version is the version of the endpoint that produced them.
+	Output  waxwingwall.Tokens
+	Version string
+
 	// MaxOutput limits the output in tokens.
 	MaxOutput waxwingwall.Tokens
 
--- a/core/sched/step.go
+++ b/core/sched/step.go
@@ -273,9 +273,9 @@
 }
 
 // refuse returns the Refuse action of a job. The outcome remains not_run only
-// if the job was never dispatched.
+// if the job was never dispatched, here or by an earlier owner.
 func (s *Scheduler) refuse(j *job, p *waxwingwall.Problem) Refuse {
-	if j.attempt > 0 {
+	if j.attempt > 0 || j.tokens > 0 {
 		p.Outcome = waxwingwall.Unknown
 	}
 	return Refuse{
@@ -288,6 +288,7 @@
 	j.flow.queue = removed(j.flow.queue, j)
 	j.endpoint = e
 	j.attempt++
+	j.attemptVersion = e.spec.Version
 	j.dispatchedAt = now
 	j.lastProgress = now
 	j.held = false
@@ -309,6 +310,7 @@
 		Identity:      j.work.Identity,
 		Attempt:       j.attempt,
 		Endpoint:      e.spec.Name,
+		Version:       e.spec.Version,
 		Resume:        j.tokens > 0,
 		NewConnection: j.newConnection || !j.work.Idempotent,
 		Limited:       s.limits.Limited(e.spec.Name),
@@ -325,6 +327,7 @@
 	e := j.endpoint
 	e.lastActivity = now
 	e.failures = 0
+	j.setVersion(tokens)
 	if !j.hasOutput {
 		s.returnSpare(j)
 		j.hasOutput = true
@@ -412,7 +415,12 @@
 		return nil
 	}
 	e := j.endpoint
+	j.setVersion(ev.Tokens)
 	j.tokens = max(j.tokens, ev.Tokens)
+	if ev.Failure == OtherVersion {
+		j.version = ev.Version
+		return s.handleFailure(now, j, ev.Failure)
+	}
 	var acts []effect.Action
 	if ev.Failure == None || ev.Failure == Cancelled {
 		if ev.Failure == None {
@@ -514,7 +522,7 @@
 	if !j.work.Idempotent || j.flow == nil || j.attempt >= maxAttempts {
 		return false
 	}
-	if s.isBlocked(now, j.work) {
+	if s.isBlocked(now, j.work) || !j.pool.servesVersion(j) {
 		return false
 	}
 	return j.spareRetry || s.retries.Left() >= 1
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -177,6 +177,11 @@
 	// declined counts the attempts that the endpoints did not run.
 	declined int
 
+	// attemptVersion is the version of the endpoint at the last dispatch. version is that
+	// of the output so far; it is valid if tokens is not zero.
+	attemptVersion string
+	version        string
+
 	// queuedAt is the time of the offer, or of the last failure or preemption.
 	queuedAt time.Time
 
@@ -384,14 +389,15 @@
 }
 
 // placeJob adds a job to the rebuilt pools. A queued job without a pool or
-// class is refused; a running one continues outside the pools.
+// class, or with output of a version that is not served any more, is refused; a
+// running one continues outside the pools.
 func (s *Scheduler) placeJob(j *job) {
 	p := s.byModel[j.work.Model]
 	var c *class
 	if p != nil {
 		c = p.class(j.work.Rank)
 	}
-	if c == nil {
+	if c == nil || j.endpoint == nil && !p.servesVersion(j) {
 		j.pool, j.class, j.flow = nil, nil, nil
 		if j.endpoint == nil {
 			delete(s.jobs, j.work.Identity)
--- a/fake/world.go
+++ b/fake/world.go
@@ -104,9 +104,10 @@
 	Dead, Paused bool
 
 	// deferred are the calls to make when a paused process resumes; active holds the
-	// running attempt of each request.
+	// running attempt of each request, versions the version that produced its output.
 	deferred []func()
 	active   map[waxwingwall.Identity]int
+	versions map[waxwingwall.Identity]string
 }
 
 // taskQueue is a heap of tasks, ordered by time and then by order of scheduling.
@@ -206,6 +207,7 @@
 	h.Paused = false
 	h.deferred = nil
 	h.active = make(map[waxwingwall.Identity]int)
+	h.versions = make(map[waxwingwall.Identity]string)
 	h.Node = n
 	w.tick(h, h.Generation)
 	w.listMembers(h, h.Generation)
@@ -299,6 +301,7 @@
 			delete(h.active, a.Identity)
 		}
 	case core.Finish:
+		delete(h.versions, a.Identity)
 		w.handleFinish(h, a.Identity, a.End)
 	case core.IncarnationClosed:
 		w.startSuccessor(h)
@@ -340,6 +343,7 @@
 // startAttempt starts an attempt immediately; it generates a token every
 // tokenInterval.
 func (w *World) startAttempt(h *Host, generation int, a core.StartAttempt) {
+	w.checkVersion(h, a)
 	w.Runs[a.Identity]++
 	if w.KillOnStart {
 		w.KillOnStart = false
@@ -355,6 +359,16 @@
 	w.nextToken(h, generation, a, 0, length, crashAt)
 }
 
+// checkVersion checks that output is only continued at the version that produced it.
+func (w *World) checkVersion(h *Host, a core.StartAttempt) {
+	if v, ok := h.versions[a.Identity]; ok && v != a.Version {
+		w.Fail("%v: output of version %q is continued at %q", a.Identity, v, a.Version)
+	}
+	if c := w.clients[a.Identity]; c != nil && len(c.Request.Prior) > 0 && c.Request.PriorVersion != a.Version {
+		w.Fail("%v: prior output of version %q is continued at %q", a.Identity, c.Request.PriorVersion, a.Version)
+	}
+}
+
 // nextToken schedules the next token of an attempt or its end.
 func (w *World) nextToken(h *Host, generation int, a core.StartAttempt, i, length, crashAt int) {
 	w.After(tokenInterval, func() {
@@ -374,6 +388,7 @@
 		case i == length:
 			w.step(h, generation, end)
 		default:
+			h.versions[a.Identity] = a.Version
 			w.step(h, generation, core.AttemptProgress{
 				Identity: a.Identity,
 				Attempt:  a.Attempt,
--- a/request.go
+++ b/request.go
@@ -62,8 +62,9 @@
 	Prefix []uint64
 
 	// Prior is the output that the caller already has when another owner resumes
-	// the request.
-	Prior []Frame
+	// the request, PriorVersion the version of the endpoints that produced it.
+	Prior        []Frame
+	PriorVersion string
 }
 
 // WorstCase returns the most that r can cost.
@@ -106,6 +107,9 @@
 	// Frames is empty if no output arrived in time.
 	Frames []Frame
 
+	// Version is the version of the endpoints that produced the output.
+	Version string
+
 	// End is set with the last frames.
 	End *End
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -29,13 +29,28 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.ctx)
+	offset, version, ok := rn.beginAttempt(a.Attempt, a.Version, cancel)
+	if !ok {
+		cancel()
+		boot := r.self.Boot
+		r.spawn(func() {
+			r.postTo(boot, core.AttemptEnded{
+				Identity: a.Identity,
+				Attempt:  a.Attempt,
+				Output:   waxwingwall.Tokens(offset),
+				Failure:  sched.OtherVersion,
+				Version:  version,
+			})
+		})
+		return
+	}
 	t := &attempt{
 		boot:   r.self.Boot,
 		id:     fmt.Sprintf("%s.%s.%d", r.self, a.Identity.Key, a.Attempt),
 		router: r,
 		run:    rn,
 		start:  a,
-		offset: rn.beginAttempt(a.Attempt, cancel),
+		offset: offset,
 	}
 	r.spawn(func() {
 		defer cancel()
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -161,8 +161,10 @@
 	handoffDeadline time.Time
 
 	// delivered holds the frames of an idempotent request that were returned to
-	// the caller; it stays empty for other requests.
+	// the caller; it stays empty for other requests. version is the version of the
+	// endpoints that produced them.
 	delivered []waxwingwall.Frame
+	version   string
 
 	// done is set once the end was delivered.
 	done bool
@@ -294,8 +296,13 @@
 	if a.shouldResubmit(f.End) {
 		return waxwingwall.Frames{}, a.resubmit(ctx)
 	}
-	if a.request.Idempotent {
+	if len(a.delivered) > 0 && f.Version != a.version && (len(f.Frames) > 0 || f.End != nil && f.End.Problem == nil) {
+		// The new owner runs the request from its start, for another caller.
+		return a.fail(unknownOutcome()), nil
+	}
+	if a.request.Idempotent && len(f.Frames) > 0 {
 		a.delivered = append(a.delivered, f.Frames...)
+		a.version = f.Version
 	}
 	a.done = f.End != nil
 	return f, nil
@@ -354,6 +361,7 @@
 	defer cancel()
 	resumed := *a.request
 	resumed.Prior = a.delivered
+	resumed.PriorVersion = a.version
 	a.request = &resumed
 	for {
 		err := a.submit(ctx)
--- a/router/run.go
+++ b/router/run.go
@@ -25,6 +25,9 @@
 	frames  []waxwingwall.Frame
 	end     *waxwingwall.End
 
+	// version is the version of the endpoints that produced the frames.
+	version string
+
 	// attempt is the number of the current attempt; frames of any other attempt
 	// are dropped.
 	attempt int
@@ -47,6 +50,7 @@
 		arrived:  now,
 		changed:  make(chan struct{}),
 		frames:   append([]waxwingwall.Frame(nil), r.Prior...),
+		version:  r.PriorVersion,
 		limit:    int(r.MaxOutput),
 		lastRead: now,
 	}
@@ -59,13 +63,18 @@
 }
 
 // beginAttempt sets the current attempt and returns the number of frames so
-// far.
-func (r *run) beginAttempt(attempt int, stop context.CancelFunc) int {
+// far. It returns false, with their version, if they are of another version than the
+// attempt's endpoint; the attempt must not run then.
+func (r *run) beginAttempt(attempt int, version string, stop context.CancelFunc) (frames int, of string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(r.frames) > 0 && r.version != version {
+		return len(r.frames), r.version, false
+	}
+	r.version = version
 	r.attempt = attempt
 	r.stop = stop
-	return len(r.frames)
+	return len(r.frames), version, true
 }
 
 // add appends a frame of an attempt. It returns the number of frames and
@@ -143,7 +152,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f := waxwingwall.Frames{
-		End: r.end,
+		Version: r.version,
+		End:     r.end,
 	}
 	if offset < len(r.frames) {
 		f.Frames = r.frames[offset:len(r.frames):len(r.frames)]
