core/edge: no permit for an endpoint that has changed its service

Between the ask for a permit and its grant the endpoint's entry may name another service; the request was sent there. TestPermitOfOtherService failed before: sent to ledger-0, which serves another service now.

--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -143,7 +143,7 @@
 	delete(e.permits, g.ID)
 	r.ask = 0
 	row := e.endpoints.rows[g.Endpoint]
-	if row == nil || !row.usable() || !e.versionFilter(r)(row) || r.tried[g.Endpoint] || !e.mayDispatch() || r.deadline.Sub(e.now) < minAttemptTime {
+	if row == nil || !row.usable() || row.replica.Service != r.service || !e.versionFilter(r)(row) || r.tried[g.Endpoint] || !e.mayDispatch() || r.deadline.Sub(e.now) < minAttemptTime {
 		e.limits.GiveBack(e.now, g)
 		e.dispatchDenied(r, defaultRetryAfter)
 		return
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -14,6 +14,7 @@
 
 	"waxwingwall"
 	"waxwingwall/core/effect"
+	"waxwingwall/core/limit"
 )
 
 const (
@@ -896,3 +897,34 @@
 	}
 	h.t.Fatalf("nothing is sent to %s", endpoint)
 }
+
+// TestPermitOfOtherService guards against a request that is sent to an endpoint which has
+// changed its service since the permit was asked for.
+func TestPermitOfOtherService(t *testing.T) {
+	h := newHarness(t)
+	route := h.edge.config.route("a.example", "/order/x")
+	r := &request{
+		id:       99,
+		call:     call("order"),
+		route:    route,
+		service:  "ledger",
+		arrived:  h.now,
+		deadline: h.now.Add(time.Second),
+		tried:    map[waxwingwall.Endpoint]bool{},
+	}
+	h.edge.requests[r.id] = r
+	h.edge.permits[7] = r
+	moved := ledgers(1)[0]
+	moved.Service = "model"
+	h.step(Replicas{
+		Replicas: []waxwingwall.Replica{moved},
+		Revision: 11,
+	})
+	h.edge.handleGranted(limit.Granted{
+		ID:       7,
+		Endpoint: moved.Endpoint,
+	})
+	if d := only[Dispatch](h, h.step(effect.Tick{})); d.Params.Endpoint == moved.Endpoint {
+		t.Errorf("sent to %s, which serves another service now", moved.Endpoint)
+	}
+}
