relay: log the panic of a handler

net/http closes the caller's connection when a handler panics, and its log is discarded: the caller got neither an answer nor a refusal, and no line said why. The panic is logged with its stack now.

--- a/relay/request.go
+++ b/relay/request.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -90,6 +92,7 @@
 
 // serveCaller handles the requests of callers.
 func (r *Relay) serveCaller(w http.ResponseWriter, req *http.Request) {
+	defer r.logPanic()
 	s := r.sharedState.Load()
 	if s.draining {
 		w.Header().Set("Connection", "close")
@@ -123,6 +126,19 @@
 	p.run()
 }
 
+// logPanic logs a panic of a handler, with which net/http closes the caller's connection
+// without an answer.
+func (r *Relay) logPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		r.log.WithField("panic", fmt.Sprint(v)).WithField("stack", string(debug.Stack())).Error("handler_panicked")
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // run performs the actions for the request, up to and including the last one.
 func (p *proxyRequest) run() {
 	callerDone := p.r.Context().Done()
