--- a/core/odd_test.go
+++ b/core/odd_test.go
@@ -39,6 +39,7 @@
 		slices.Sort(keys)
 		for _, key := range keys {
 			t.Run(fmt.Sprint(name, "/", key), func(t *testing.T) {
+				t.Parallel()
 				w, document, _ := startFleet(t, 3, 1, 10000)
 				sound := w.Rows[key]
 				w.Rows[key] = waxwingwall.Row{Key: key, Version: sound.Version + 1_000_000, Value: value}
