--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -234,7 +234,7 @@
 	switch m := ev.Message.(type) {
 	case Report:
 		if !m.valid() {
-			e.log("message_rejected", "", field("peer", shortened(ev.From.String())), field("message", "report"))
+			e.log("message_rejected", "", field("peer", waxwingwall.Excerpt(ev.From.String())), field("message", "report"))
 			return
 		}
 		if e.gossip.reports == nil {
@@ -328,7 +328,7 @@
 // handleNews applies newer state from a peer.
 func (e *Edge) handleNews(from waxwingwall.Incarnation, m News) {
 	if err := m.check(); err != nil {
-		e.log("message_rejected", "", field("peer", shortened(from.String())), field("message", "news"), field("cause", shortened(err.Error())))
+		e.log("message_rejected", "", field("peer", waxwingwall.Excerpt(from.String())), field("message", "news"), field("cause", waxwingwall.Excerpt(err.Error())))
 		return
 	}
 	e.applyConfiguration(m.Configuration, "peer")
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -57,10 +57,9 @@
 	// without an answer is retried.
 	registerTimeout = 2 * time.Second
 
-	// The limits of a router's row, and of the part of a text that is logged.
-	maxNameBytes   = 256
-	maxLinkMbps    = 10_000_000
-	maxLoggedBytes = 160
+	// The limits of a router's row.
+	maxNameBytes = 256
+	maxLinkMbps  = 10_000_000
 )
 
 // nodeRow is the content of the row of a router, encoded as JSON.
@@ -237,7 +236,7 @@
 	}
 	content, err := decodeNode(i, row.Value)
 	if err != nil {
-		e.log("node_unreadable", "", field("node", shortened(i.String())), field("version", row.Version), field("cause", shortened(err.Error())))
+		e.log("node_unreadable", "", field("node", waxwingwall.Excerpt(i.String())), field("version", row.Version), field("cause", waxwingwall.Excerpt(err.Error())))
 		return
 	}
 	n := t.rows[i]
@@ -279,14 +278,6 @@
 	return a.IsValid() && a.Port() != 0 && !ip.IsUnspecified() && !ip.IsMulticast()
 }
 
-// shortened returns the start of a text, for a log line.
-func shortened(text string) string {
-	if len(text) <= maxLoggedBytes {
-		return text
-	}
-	return text[:maxLoggedBytes] + "..."
-}
-
 // incarnationOf parses the key of a node row.
 func incarnationOf(key string) (waxwingwall.Incarnation, bool) {
 	name, found := strings.CutPrefix(key, NodeTable+"/")
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -158,9 +158,6 @@
 	maxSeq    = 1 << 53
 )
 
-// maxLoggedBytes limits the text of an error, which may hold parts of a row.
-const maxLoggedBytes = 160
-
 // Decode decodes the value of a row. An absent row decodes to the zero value. A row with
 // a content that no router writes is an error; it could give tokens out twice.
 func Decode[R BudgetRow | ShareRow | TopUpRow](row waxwingwall.Row) (R, error) {
@@ -169,8 +166,8 @@
 		return r, nil
 	}
 	if err := decode([]byte(row.Value), &r); err != nil {
-		text := err.Error()
-		return r, fmt.Errorf("row %q: %s", row.Key, text[:min(len(text), maxLoggedBytes)])
+		// The text of the error may hold parts of the row.
+		return r, fmt.Errorf("row %q: %s", row.Key, waxwingwall.Excerpt(err.Error()))
 	}
 	return r, nil
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -45,9 +45,6 @@
 	// busyRetryAfter is the retry delay for callers while no memory for a body is free.
 	busyRetryAfter = 500 * time.Millisecond
 
-	// maxLoggedText is the number of bytes of an endpoint's text that are logged.
-	maxLoggedText = 64
-
 	// actionQueueSize is the capacity of a request's queue of actions. The control
 	// goroutine never queues more, so it does not block.
 	actionQueueSize = 8
@@ -372,10 +369,10 @@
 	reply := p.relay.codec.ParseReply(answer.Status, answer.Header)
 	log := p.relay.log.WithField("endpoint", string(d.Params.Endpoint))
 	if reply.InvalidLeaving != "" {
-		log.WithField("leaving", shortened(reply.InvalidLeaving)).Warning("leaving_unreadable")
+		log.WithField("leaving", waxwingwall.Excerpt(reply.InvalidLeaving)).Warning("leaving_unreadable")
 	}
 	if reply.InvalidRetryAfter != "" {
-		log.WithField("retry_after", shortened(reply.InvalidRetryAfter)).Warning("retry_after_unreadable")
+		log.WithField("retry_after", waxwingwall.Excerpt(reply.InvalidRetryAfter)).Warning("retry_after_unreadable")
 	}
 	if !reply.Leaving && reply.RetryAfter == 0 {
 		return
@@ -397,11 +394,6 @@
 	return ok && time.Now().Before(until)
 }
 
-// shortened returns the start of a text that an endpoint wrote, for the log.
-func shortened(text string) string {
-	return text[:min(len(text), maxLoggedText)]
-}
-
 // failedAttempt returns the result of an attempt that failed with err.
 func failedAttempt(err error) edge.AttemptEnded {
 	result := edge.Broken
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -19,9 +19,6 @@
 // the request at once; otherwise the attempt waits, until this timeout ends it.
 const attemptIdleTimeout = 30 * time.Second
 
-// maxLoggedText is the number of bytes of an endpoint's text that are logged.
-const maxLoggedText = 64
-
 // start starts an attempt on an endpoint.
 func (r *Router) start(a core.StartAttempt) {
 	rn := r.runs.get(a.Identity)
@@ -148,7 +145,7 @@
 	}
 	wait, ok := waxwingwall.ParseRetryAfter(text)
 	if !ok {
-		t.router.log.WithField("endpoint", t.start.Endpoint).WithField("retry_after", text[:min(len(text), maxLoggedText)]).Warn("retry_after_unreadable")
+		t.router.log.WithField("endpoint", t.start.Endpoint).WithField("retry_after", waxwingwall.Excerpt(text)).Warn("retry_after_unreadable")
 	}
 	return wait
 }
