--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -82,7 +82,7 @@
 		e.log("attempt_stalled", r.call.ID,
 			field("attempt", r.attempt), field("endpoint", r.endpoint.replica.Endpoint), field("idle", ev.Idle),
 			field("answer_begun", r.answerStarted), field("endpoint_heard", since(r.endpoint.heardAt, e.now)),
-			field("stays_for", obstacle))
+			field("obstacle", obstacle))
 	}
 	if obstacle != "" {
 		e.emit(KeepWaiting{
@@ -122,7 +122,7 @@
 		return nil, "retry_budget_spent"
 	}
 	ofVersion := e.versionFilter(r)
-	c, ok := e.choose(r, func(row *endpoint) bool { return ofVersion(row) && e.certain(row) })
+	c, ok := e.choose(r, func(row *endpoint) bool { return ofVersion(row) && e.isFree(row) })
 	switch {
 	case !ok:
 		return nil, "no_endpoint"
@@ -135,8 +135,9 @@
 	return c.endpoint, ""
 }
 
-// certain reports whether an endpoint is expected to run a request at once.
-func (e *Edge) certain(row *endpoint) bool {
+// isFree reports whether an endpoint is expected to run a request at once, as far as this
+// router knows.
+func (e *Edge) isFree(row *endpoint) bool {
 	row.decay(e.now)
 	return row.listed() && !e.now.Before(row.backoffUntil) && row.failureRate <= maxLeaveFailureRate &&
 		!e.limits.Limited(row.replica.Endpoint) && e.hasRoom(row)
@@ -156,7 +157,7 @@
 func (e *Edge) continueAt(r *request, next *endpoint) {
 	next.reserved--
 	r.spareRetry = true
-	if e.endpoints.rows[next.replica.Endpoint] != next || next.replica.Service != r.service || !e.versionFilter(r)(next) || !e.certain(next) {
+	if e.endpoints.rows[next.replica.Endpoint] != next || next.replica.Service != r.service || !e.versionFilter(r)(next) || !e.isFree(next) {
 		e.dispatch(r)
 		return
 	}
