io/peer: close unused links, bound all queues together

A router held a queue of 1,024 envelopes, a goroutine and a connection for each peer that it ever sent to: at 295 routers most of its memory.

A link is now a slice that grows with what waits; a goroutine sends it and ends. Connections that are unused for 3 s are closed. All queues together hold at most 4 MiB by the size that messages tell, one link 512 KiB, and what is dropped is counted (three new metrics). A dial no longer holds the lock that closing needs: a new address of a peer made the control goroutine wait for up to a second.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -33,11 +33,22 @@
 	addr netip.AddrPort
 	tls  *tls.Config
 
-	// mu guards conn, which is nil until a call makes a connection.
-	mu   sync.Mutex
-	conn *rpc.Client
+	// dialing is held while a connection is made, so that there is only one.
+	dialing sync.Mutex
+
+	// mu guards the fields below and is never held while waiting. conn is nil while there
+	// is no connection, for good once closed is set. calls counts the calls in progress;
+	// usedAt is when the last one began or ended.
+	mu     sync.Mutex
+	conn   *rpc.Client
+	closed bool
+	calls  int
+	usedAt time.Time
 }
 
+// errClosed is the error of calls after the client was closed.
+var errClosed = errors.New("peer client closed")
+
 // New returns a client of the peer at addr and a function that closes its
 // connection. The connection uses TLS unless tc is nil.
 func New(addr netip.AddrPort, tc *tls.Config) (*Client, func()) {
@@ -51,18 +62,55 @@
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closed = true
 	if c.conn != nil {
 		_ = c.conn.Close()
 		c.conn = nil
 	}
 }
 
-// connect returns the open connection, or makes one.
-func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+// closeUnused closes the connection if it has not been used since a time. The next call
+// makes another one.
+func (c *Client) closeUnused(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil {
-		return c.conn, nil
+	if c.conn != nil && c.calls == 0 && c.usedAt.Before(since) {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// connected reports whether there is a connection.
+func (c *Client) connected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.conn != nil
+}
+
+// begin and end count a call in progress.
+func (c *Client) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls++
+	c.usedAt = time.Now()
+}
+
+func (c *Client) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.calls--
+	c.usedAt = time.Now()
+}
+
+// connect returns the open connection, or makes one.
+func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
+	if conn, err := c.current(); conn != nil || err != nil {
+		return conn, err
+	}
+	c.dialing.Lock()
+	defer c.dialing.Unlock()
+	if conn, err := c.current(); conn != nil || err != nil {
+		return conn, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -70,10 +118,26 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "peer %v", c.addr)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		_ = conn.Close()
+		return nil, trace.Wrap(errClosed)
+	}
 	c.conn = rpc.NewClient(conn)
 	return c.conn, nil
 }
 
+// current returns the open connection; nil if there is none.
+func (c *Client) current() (*rpc.Client, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, trace.Wrap(errClosed)
+	}
+	return c.conn, nil
+}
+
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
 	if c.tls == nil {
 		var d net.Dialer
@@ -98,6 +162,8 @@
 
 // call makes one call. If it times out, the connection is closed.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, args, reply any) error {
+	c.begin()
+	defer c.end()
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -10,50 +10,158 @@
 	"waxwingwall"
 )
 
-// Limits of a link.
+// Limits of the links.
 const (
-	// maxQueued is the capacity of a peer's queue in messages; further messages
-	// are dropped, which the decision logic treats as lost.
-	maxQueued = 1024
+	// maxQueuedBytes limits the messages that are queued for all peers together, in
+	// bytes as told by Sizer, and maxLinkBytes those for one peer, unless it is a single
+	// message. Further messages are dropped, which the decision logic treats as lost.
+	maxQueuedBytes = 4 << 20
+	maxLinkBytes   = 512 << 10
+
+	// defaultSize is the size of a message that is not a Sizer, in bytes.
+	defaultSize = 512
 
 	// batchTimeout limits the time to send one batch.
 	batchTimeout = time.Second
+
+	// defaultIdleTimeout is how long the connection of an unused link is kept. It is longer
+	// than the time between two messages to a neighbour in the largest fleet.
+	defaultIdleTimeout = 3 * time.Second
 )
 
-// Links is the table of links to peers, one per address. Create it with
-// NewLinks.
+// Sizer is implemented by messages that can be large.
+type Sizer interface {
+	// Size returns the approximate size of the message in bytes.
+	Size() int
+}
+
+// sizeOf returns the size of a message that counts towards the limits.
+func sizeOf(message any) int {
+	if s, ok := message.(Sizer); ok {
+		return s.Size()
+	}
+	return defaultSize
+}
+
+// Links is the table of links to peers, one per address. A link that is not used has
+// neither a connection nor a goroutine. Create it with NewLinks.
 type Links struct {
-	ctx        context.Context
-	tls        *tls.Config
-	goroutines *sync.WaitGroup
+	ctx         context.Context
+	tls         *tls.Config
+	goroutines  *sync.WaitGroup
+	idleTimeout time.Duration
 
 	mu        sync.Mutex
 	addresses map[waxwingwall.VM]netip.AddrPort
 	links     map[netip.AddrPort]*link
+
+	// queuedBytes is the sum of link.bytes, dropped the number of messages for which there
+	// was no room or that could not be sent.
+	queuedBytes int
+	dropped     int64
 }
 
-// link is the connection to one peer with its queue of messages.
+// link is the connection to one peer with its queue of messages. Links.mu guards all
+// fields that change.
 type link struct {
 	client *Client
-	close  func()
-	queue  chan Envelope
+	ctx    context.Context
 	cancel context.CancelFunc
+
+	// queue holds the messages that wait, bytes is the size of these and of the batch that
+	// is being sent. sending is set while a goroutine sends them.
+	queue   []Envelope
+	bytes   int
+	sending bool
+}
+
+// LinksStats are the sums over all links.
+type LinksStats struct {
+	// Connections is the number of open connections to peers.
+	Connections int
+
+	// QueuedBytes is the size of the messages that have not been sent, in bytes.
+	QueuedBytes int
+
+	// Dropped counts the messages for which there was no room or that could not be sent.
+	Dropped int64
+}
+
+// LinksOption configures Links.
+type LinksOption func(*Links)
+
+// WithIdleTimeout sets how long the connection of an unused link is kept.
+func WithIdleTimeout(d time.Duration) LinksOption {
+	return func(l *Links) {
+		l.idleTimeout = d
+	}
 }
 
 // NewLinks returns an empty table and a function that closes all connections.
 // Sending stops when the context ends; goroutines counts the running
 // goroutines.
-func NewLinks(ctx context.Context, tc *tls.Config, goroutines *sync.WaitGroup) (*Links, func()) {
+func NewLinks(ctx context.Context, tc *tls.Config, goroutines *sync.WaitGroup, opts ...LinksOption) (*Links, func()) {
 	l := &Links{
-		ctx:        ctx,
-		tls:        tc,
-		goroutines: goroutines,
-		addresses:  make(map[waxwingwall.VM]netip.AddrPort),
-		links:      make(map[netip.AddrPort]*link),
+		ctx:         ctx,
+		tls:         tc,
+		goroutines:  goroutines,
+		idleTimeout: defaultIdleTimeout,
+		addresses:   make(map[waxwingwall.VM]netip.AddrPort),
+		links:       make(map[netip.AddrPort]*link),
 	}
+	for _, o := range opts {
+		o(l)
+	}
+	goroutines.Add(1)
+	go func() {
+		defer goroutines.Done()
+		l.closeUnused()
+	}()
 	return l, l.close
 }
 
+// closeUnused closes the connections of unused links until the context ends.
+func (l *Links) closeUnused() {
+	ticker := time.NewTicker(max(l.idleTimeout/2, time.Millisecond))
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, lk := range l.all() {
+				lk.client.closeUnused(now.Add(-l.idleTimeout))
+			}
+		}
+	}
+}
+
+// all returns all links.
+func (l *Links) all() []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]*link, 0, len(l.links))
+	for _, lk := range l.links {
+		all = append(all, lk)
+	}
+	return all
+}
+
+// Stats returns the sums over all links.
+func (l *Links) Stats() LinksStats {
+	var s LinksStats
+	for _, lk := range l.all() {
+		if lk.client.connected() {
+			s.Connections++
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.QueuedBytes = l.queuedBytes
+	s.Dropped = l.dropped
+	return s
+}
+
 // SetAddress records where the router of a VM listens. It closes the link to
 // its previous address.
 func (l *Links) SetAddress(vm waxwingwall.VM, addr netip.AddrPort) {
@@ -65,15 +173,13 @@
 	}
 	l.addresses[vm] = addr
 	if lk := l.links[old]; ok && lk != nil {
-		lk.stop()
+		l.stop(lk)
 		delete(l.links, old)
 	}
 }
 
-// link returns the link to a VM, or nil if its address is unknown.
+// link returns the link to a VM, or nil if its address is unknown. l.mu is held.
 func (l *Links) link(vm waxwingwall.VM) *link {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	addr, ok := l.addresses[vm]
 	if !ok || l.ctx.Err() != nil {
 		return nil
@@ -81,25 +187,19 @@
 	if lk := l.links[addr]; lk != nil {
 		return lk
 	}
-	ctx, cancel := context.WithCancel(l.ctx)
-	client, closeClient := New(addr, l.tls)
+	client, _ := New(addr, l.tls)
 	lk := &link{
 		client: client,
-		close:  closeClient,
-		queue:  make(chan Envelope, maxQueued),
-		cancel: cancel,
 	}
+	lk.ctx, lk.cancel = context.WithCancel(l.ctx)
 	l.links[addr] = lk
-	l.goroutines.Add(1)
-	go func() {
-		defer l.goroutines.Done()
-		lk.sendQueued(ctx)
-	}()
 	return lk
 }
 
 // Client returns the client for the router of a VM, if its address is known.
 func (l *Links) Client(vm waxwingwall.VM) (*Client, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	lk := l.link(vm)
 	if lk == nil {
 		return nil, false
@@ -109,14 +209,26 @@
 
 // Send queues a message, or drops it if there is no link or no room.
 func (l *Links) Send(e Envelope) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	lk := l.link(e.To.VM)
-	if lk == nil {
+	size := sizeOf(e.Message)
+	if lk == nil || l.queuedBytes+size > maxQueuedBytes || lk.bytes > 0 && lk.bytes+size > maxLinkBytes {
+		l.dropped++
 		return
 	}
-	select {
-	case lk.queue <- e:
-	default:
+	lk.queue = append(lk.queue, e)
+	lk.bytes += size
+	l.queuedBytes += size
+	if lk.sending {
+		return
 	}
+	lk.sending = true
+	l.goroutines.Add(1)
+	go func() {
+		defer l.goroutines.Done()
+		l.sendQueued(lk)
+	}()
 }
 
 // close closes all links.
@@ -124,42 +236,49 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, lk := range l.links {
-		lk.stop()
+		l.stop(lk)
 	}
 }
 
-// stop closes the link; queued messages are lost.
-func (lk *link) stop() {
+// stop closes a link; queued messages are lost. l.mu is held.
+func (l *Links) stop(lk *link) {
 	lk.cancel()
-	lk.close()
+	lk.client.close()
+	l.dropped += int64(len(lk.queue))
+	for _, e := range lk.queue {
+		l.release(lk, sizeOf(e.Message))
+	}
+	lk.queue = nil
 }
 
-// sendQueued sends messages until the link is closed. A message that fails is
-// lost; senders tolerate that.
-func (lk *link) sendQueued(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case e := <-lk.queue:
-			lk.sendBatch(ctx, e)
-		}
-	}
+// release subtracts bytes that are no longer queued. l.mu is held.
+func (l *Links) release(lk *link, bytes int) {
+	lk.bytes -= bytes
+	l.queuedBytes -= bytes
 }
 
-// sendBatch sends a message together with all that are queued behind it.
-func (lk *link) sendBatch(ctx context.Context, e Envelope) {
-	batch := []Envelope{e}
-	for len(batch) < maxQueued {
-		select {
-		case more := <-lk.queue:
-			batch = append(batch, more)
-			continue
-		default:
+// sendQueued sends the messages of a link until none is queued. All that wait are sent
+// together. A message that fails is lost; senders tolerate that.
+func (l *Links) sendQueued(lk *link) {
+	var sent []Envelope
+	failed := false
+	for {
+		l.mu.Lock()
+		for _, e := range sent {
+			l.release(lk, sizeOf(e.Message))
+		}
+		if failed {
+			l.dropped += int64(len(sent))
+		}
+		sent = lk.queue
+		lk.queue = nil
+		lk.sending = len(sent) > 0
+		l.mu.Unlock()
+		if len(sent) == 0 {
+			return
 		}
-		break
+		ctx, cancel := context.WithTimeout(lk.ctx, batchTimeout)
+		failed = lk.client.Messages(ctx, sent) != nil
+		cancel()
 	}
-	ctx, cancel := context.WithTimeout(ctx, batchTimeout)
-	defer cancel()
-	_ = lk.client.Messages(ctx, batch)
 }
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -15,6 +15,7 @@
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/io/meter"
+	"waxwingwall/io/peer"
 )
 
 // metrics are the OpenTelemetry instruments of a relay.
@@ -45,7 +46,7 @@
 const maxEndpoints = 1000
 
 // newMetrics creates the instruments in a separate registry.
-func newMetrics(queueLength func() int, endpointsAge func() time.Duration) (*metrics, error) {
+func newMetrics(queueLength func() int, endpointsAge func() time.Duration, links func() peer.LinksStats) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
 		return nil, err
@@ -69,6 +70,9 @@
 	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_age", metric.WithUnit("s"), metric.WithFloat64Callback(observeAge), metric.WithDescription("Time since the router last had all changes of the endpoints.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err = observeLinks(meter, links); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if m.controlWait, err = meter.Float64Histogram("waxwingwall.edge.control_wait", metric.WithUnit("s"), metric.WithDescription("Time that an event waits for a decision.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -110,6 +114,30 @@
 	return m, nil
 }
 
+// observeLinks adds the instruments of the links to peers.
+func observeLinks(meter metric.Meter, links func() peer.LinksStats) error {
+	connections, err := meter.Int64ObservableGauge("waxwingwall.edge.peer_connections", metric.WithDescription("Open connections to peers."))
+	if err != nil {
+		return err
+	}
+	queued, err := meter.Int64ObservableGauge("waxwingwall.edge.peer_queue", metric.WithUnit("By"), metric.WithDescription("Size of the messages that wait to be sent to peers."))
+	if err != nil {
+		return err
+	}
+	dropped, err := meter.Int64ObservableCounter("waxwingwall.edge.peer_messages_dropped", metric.WithDescription("Messages to peers that were dropped or could not be sent."))
+	if err != nil {
+		return err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		s := links()
+		o.ObserveInt64(connections, int64(s.Connections))
+		o.ObserveInt64(queued, int64(s.QueuedBytes))
+		o.ObserveInt64(dropped, s.Dropped)
+		return nil
+	}, connections, queued, dropped)
+	return err
+}
+
 // countEntry updates the counters that derive from log entries.
 func (m *metrics) countEntry(entry edge.LogEntry) {
 	ctx := context.Background()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -155,7 +155,11 @@
 // start creates the components and starts their goroutines.
 func (r *Relay) start() error {
 	var err error
-	if r.metrics, err = newMetrics(func() int { return len(r.inbox) }, func() time.Duration { return r.sharedState.Load().endpointsAge }); err != nil {
+	if r.metrics, err = newMetrics(
+		func() int { return len(r.inbox) },
+		func() time.Duration { return r.sharedState.Load().endpointsAge },
+		func() peer.LinksStats { return r.links.Stats() },
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
