core/member: more rumours on a heartbeat after many changes, cheaper view

At 295 routers, 50 of which restart at once, 122 routers still had old news of others 3 s after the new starts: a heartbeat carries 6 rumours, each is sent 36 times. It now carries half of what is queued, 32 at most. Ruled out: the exchange of whole views, which waits until no rumour has come for four intervals.

Peers returns the same slice until something changes, the hash of the view is made of hashes that are kept with each row, and the ring is sorted only when its members change.

--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -47,7 +47,7 @@
 // limitModel drives routers in front of endpoints that name limits. Messages between
 // routers take peerDelay and are lost between routers that are cut from each other.
 type limitModel struct {
-	t       *testing.T
+	t       testing.TB
 	random  *rand.Rand
 	start   time.Time
 	now     time.Time
@@ -212,7 +212,7 @@
 
 // newLimitModel returns running routers in front of engines. An account "metered" has
 // prepaid tokens.
-func newLimitModel(t *testing.T, seed uint64, routers, engineCount int, opts ...func(*limitModel)) *limitModel {
+func newLimitModel(t testing.TB, seed uint64, routers, engineCount int, opts ...func(*limitModel)) *limitModel {
 	m := &limitModel{
 		t:         t,
 		random:    rand.New(rand.NewPCG(seed, 3)),
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -24,6 +24,7 @@
 package member
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/bits"
 	"math/rand/v2"
@@ -80,8 +81,10 @@
 	// initialContacts is the number of candidates contacted at the start.
 	initialContacts = 4
 
-	// maxRumours is the maximum number of queued rumours on one heartbeat.
-	maxRumours = 6
+	// A heartbeat carries half of the queued rumours, at least minRumours and at most
+	// maxRumours.
+	minRumours = 6
+	maxRumours = 32
 
 	// deadRetention is how long a dead router that isn't listed is kept.
 	deadRetention = 10 * time.Minute
@@ -163,11 +166,17 @@
 	// rows are all known VMs except this router's, sorted by VM.
 	rows []row
 
-	// neighbours are the VMs that heartbeats are exchanged with, and hash is the
-	// hash of the view. Both are out of date while stale is set.
+	// neighbours are the VMs that heartbeats are exchanged with; they are out of date while
+	// ringStale is set. hash is the hash of the view; it is out of date while hashStale is.
 	neighbours []waxwingwall.VM
+	ringStale  bool
 	hash       uint64
-	stale      bool
+	hashStale  bool
+
+	// peers is the last result of Peers, which callers may keep; it is out of date while
+	// peersStale is set, except for Reachable.
+	peers      []Peer
+	peersStale bool
 
 	// lastTick is when the last tick was, nextHeartbeat when the next heartbeats
 	// are due, lastSync when this router last started an exchange of views,
@@ -192,6 +201,13 @@
 type row struct {
 	rumour Rumour
 
+	// position is the VM's place on the ring, hash the hash of rumour.
+	position uint64
+	hash     uint64
+
+	// neighbour is set if the VM is one of View.neighbours.
+	neighbour bool
+
 	// listed and listedLeaving come from the platform's list.
 	listed        bool
 	listedLeaving bool
@@ -242,8 +258,10 @@
 			Address:     addr,
 			Domain:      domain,
 		},
-		heartbeat: defaultHeartbeat,
-		stale:     true,
+		heartbeat:  defaultHeartbeat,
+		ringStale:  true,
+		hashStale:  true,
+		peersStale: true,
 	}
 	WithSeed(0)(v)
 	for _, o := range opts {
@@ -259,16 +277,37 @@
 	}, true)
 }
 
-// Peers returns all other routers of known incarnation, sorted by VM.
+// Peers returns all other routers of known incarnation, sorted by VM. The result must not
+// be changed; it stays as it is.
 func (v *View) Peers(now time.Time) []Peer {
-	var peers []Peer
+	if v.peersStale || v.reachabilityChanged(now) {
+		v.peersStale = false
+		v.peers = make([]Peer, 0, len(v.rows))
+		for i := range v.rows {
+			r := &v.rows[i]
+			if r.rumour.Incarnation.Boot != 0 {
+				v.peers = append(v.peers, peerOf(r, v.reachable(now, r)))
+			}
+		}
+	}
+	return v.peers
+}
+
+// reachabilityChanged reports whether Reachable of a peer is out of date. Only that of
+// neighbours depends on the time.
+func (v *View) reachabilityChanged(now time.Time) bool {
+	next := 0
 	for i := range v.rows {
 		r := &v.rows[i]
-		if r.rumour.Incarnation.Boot != 0 {
-			peers = append(peers, peerOf(r, v.reachable(now, r)))
+		if r.rumour.Incarnation.Boot == 0 {
+			continue
+		}
+		if r.neighbour && v.peers[next].Reachable != v.reachable(now, r) {
+			return true
 		}
+		next++
 	}
-	return peers
+	return false
 }
 
 func peerOf(r *row, reachable bool) Peer {
@@ -294,7 +333,7 @@
 
 // silent reports whether the last heartbeat of a neighbour is too long ago.
 func (v *View) silent(now time.Time, r *row) bool {
-	return v.isNeighbour(r.rumour.Incarnation.VM) && now.Sub(r.lastHeartbeat) > silenceHeartbeats*v.interval()
+	return r.neighbour && now.Sub(r.lastHeartbeat) > silenceHeartbeats*v.interval()
 }
 
 // interval returns the current heartbeat interval, which grows with the fleet.
@@ -332,31 +371,41 @@
 					VM: vm,
 				},
 			},
+			position:      xxhash.Sum64String(string(vm)),
 			lastHeartbeat: now,
 		})
-		v.stale = true
+		v.ringStale = true
+		v.peersStale = true
 	}
 	return &v.rows[i]
 }
 
 // refresh recomputes the neighbours and the hash after a change.
 func (v *View) refresh(now time.Time) {
-	if !v.stale {
+	if v.hashStale {
+		v.hashStale = false
+		v.hash = v.self.hash()
+		for i := range v.rows {
+			r := &v.rows[i]
+			if r.rumour.Incarnation.Boot != 0 && r.rumour.State != Dead {
+				v.hash ^= r.hash
+			}
+		}
+	}
+	if !v.ringStale {
 		return
 	}
-	v.stale = false
-	v.hash = v.self.hash()
+	v.ringStale = false
+	v.peersStale = true
 	old := v.neighbours
 	v.neighbours = v.ring()
 	for i := range v.rows {
-		r := &v.rows[i]
-		if r.rumour.Incarnation.Boot != 0 && r.rumour.State != Dead {
-			v.hash ^= r.rumour.hash()
-		}
+		v.rows[i].neighbour = false
 	}
 	for _, vm := range v.neighbours {
+		r := v.find(vm)
+		r.neighbour = true
 		if !slices.Contains(old, vm) {
-			r := v.find(vm)
 			r.lastHeartbeat = latest(r.lastHeartbeat, now)
 			r.probedAt = time.Time{}
 		}
@@ -382,26 +431,20 @@
 		hash: xxhash.Sum64String(string(v.self.Incarnation.VM)),
 		vm:   v.self.Incarnation.VM,
 	}
-	positions := []position{origin}
+	positions := make([]position, 1, len(v.rows)+1)
+	positions[0] = origin
 	for i := range v.rows {
 		r := &v.rows[i]
 		if r.rumour.State == Dead {
 			continue
 		}
-		vm := r.rumour.Incarnation.VM
 		positions = append(positions, position{
-			hash: xxhash.Sum64String(string(vm)),
-			vm:   vm,
+			hash: r.position,
+			vm:   r.rumour.Incarnation.VM,
 		})
 	}
 	slices.SortFunc(positions, func(a, b position) int {
-		if a.hash != b.hash {
-			if a.hash < b.hash {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(string(a.vm), string(b.vm))
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.vm, b.vm))
 	})
 	at := slices.Index(positions, origin)
 	n := len(positions)
@@ -418,11 +461,6 @@
 	return vms
 }
 
-func (v *View) isNeighbour(vm waxwingwall.VM) bool {
-	_, ok := slices.BinarySearch(v.neighbours, vm)
-	return ok
-}
-
 // hash covers the fields on which all routers must agree.
 func (r Rumour) hash() uint64 {
 	h := xxhash.New()
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -247,7 +247,7 @@
 		}
 		for _, p := range f.views[j].Peers(f.now) {
 			cut := p.Incarnation.VM == vm(i)
-			if cut && p.Reachable && f.views[j].isNeighbour(vm(i)) {
+			if cut && p.Reachable && f.views[j].find(vm(i)).neighbour {
 				t.Fatalf("%d is cut off but reachable: %+v", i, p)
 			}
 		}
--- a/core/member/rumour.go
+++ b/core/member/rumour.go
@@ -62,9 +62,11 @@
 // transmission.
 func (v *View) nextRumours() []Rumour {
 	slices.SortStableFunc(v.gossip, func(a, b queuedRumour) int { return a.sent - b.sent })
-	var rumours []Rumour
+	// Many changes at once would otherwise take as many heartbeats to spread.
+	limit := min(max(minRumours, len(v.gossip)/2), maxRumours)
+	rumours := make([]Rumour, 0, min(limit, len(v.gossip)))
 	for i := range v.gossip {
-		if len(rumours) == maxRumours {
+		if len(rumours) == limit {
 			break
 		}
 		t := &v.gossip[i]
@@ -110,7 +112,11 @@
 func (v *View) replace(now time.Time, r *row, update Rumour, forward bool) {
 	newBoot := update.Incarnation.Boot != r.rumour.Incarnation.Boot
 	newState := update.State != r.rumour.State
+	v.ringStale = v.ringStale || newState && (update.State == Dead || r.rumour.State == Dead)
+	v.hashStale = true
+	v.peersStale = true
 	r.rumour = update
+	r.hash = update.hash()
 	if newBoot || newState {
 		r.stateSince = now
 	}
@@ -118,7 +124,6 @@
 		r.probedAt = time.Time{}
 		r.lastHeartbeat = latest(r.lastHeartbeat, now)
 	}
-	v.stale = true
 	v.lastUpdate = now
 	v.changed = true
 	if forward || update.State != Alive {
@@ -136,7 +141,7 @@
 		return
 	}
 	v.self.Count = update.Count + 1
-	v.stale = true
+	v.hashStale = true
 	v.lastUpdate = now
 }
 
--- a/core/member/step.go
+++ b/core/member/step.go
@@ -45,6 +45,19 @@
 	Rumours []Rumour
 }
 
+// rumourBytes is the approximate size of a Rumour, in bytes.
+const rumourBytes = 128
+
+// Size returns the approximate size of the heartbeat in bytes.
+func (m Heartbeat) Size() int {
+	return rumourBytes * (1 + len(m.Rumours))
+}
+
+// Size returns the approximate size of the view in bytes.
+func (m Sync) Size() int {
+	return rumourBytes * (1 + len(m.Rumours))
+}
+
 // probe is a received Probe whose target hasn't responded yet.
 type probe struct {
 	from   waxwingwall.Incarnation
@@ -82,7 +95,7 @@
 	if !v.self.Leaving {
 		v.self.Leaving = true
 		v.self.Count++
-		v.stale = true
+		v.hashStale = true
 		v.sendHeartbeats(now)
 	}
 	return v.takeActions()
@@ -200,7 +213,9 @@
 		return !r.listed && (expired || r.rumour.Incarnation.Boot == 0)
 	})
 	if len(v.rows) != n {
-		v.stale = true
+		v.ringStale = true
+		v.hashStale = true
+		v.peersStale = true
 		v.changed = true
 	}
 }
@@ -229,12 +244,11 @@
 	}
 	nth := v.rng.IntN(n)
 	for i := range v.rows {
-		vm := v.rows[i].rumour.Incarnation.VM
-		if v.isNeighbour(vm) {
+		if v.rows[i].neighbour {
 			continue
 		}
 		if nth == 0 {
-			return vm, true
+			return v.rows[i].rumour.Incarnation.VM, true
 		}
 		nth--
 	}
@@ -280,6 +294,7 @@
 		r.listed = true
 		if r.listedLeaving != m.Leaving {
 			r.listedLeaving = m.Leaving
+			v.peersStale = true
 			v.changed = true
 		}
 		if r.rumour.Incarnation.Boot == 0 {
