core/edge: work of a tick that does not grow with the square of the fleet

Each tick sorted all incarnations and looked each of them up among the peers, and for each dead one hashed all live ones; each row of a router that changed passed the whole list to the member view. These lists are now kept until the rows or the view change, and a row that only shows that its router lives changes nothing else.

Routers show that they live at most once in 25 ms times their number: while one was dead, each wrote once a second and all read all of it (TestWritesOfLiveRouters: 396 writes in 6 s at 72 routers, allowed 240). Reports go to the same 12 peers instead of 12 drawn each time, as each costs a connection, and less often in a large fleet (TestSteadyPeers).

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -26,7 +26,7 @@
 		return
 	}
 	peers := e.view.Peers(e.now)
-	for _, i := range e.incarnations() {
+	for _, i := range e.perhapsDead(peers) {
 		if i == e.Self || e.isClosing(i) || !e.isDead(i, peers) || !e.mayClose(i, peers) {
 			continue
 		}
@@ -42,6 +42,24 @@
 	}
 }
 
+// perhapsDead returns the incarnations that are not known to be live. The others have not
+// changed since the member view and the rows did.
+func (e *Edge) perhapsDead(peers []member.Peer) []waxwingwall.Incarnation {
+	t := &e.nodes
+	if !t.perhapsDeadStale {
+		return t.perhapsDead
+	}
+	t.perhapsDeadStale = false
+	t.perhapsDead = nil
+	for _, i := range e.incarnations() {
+		p, ok := findPeer(peers, i.VM)
+		if !ok || p.Incarnation != i || !p.Alive || t.newest[i.VM] > i.Boot {
+			t.perhapsDead = append(t.perhapsDead, i)
+		}
+	}
+	return t.perhapsDead
+}
+
 // mayClose reports whether this router may now close the shares of a dead
 // incarnation. It closes those of earlier incarnations of its own VM at once.
 // For others, each router waits for its turn in an order that is the same at
@@ -56,13 +74,23 @@
 	if dead.VM == e.Self.VM {
 		return true
 	}
-	delay := silentCloseDelay
+	delay, quiet := silentCloseDelay, e.touchTTL()
 	if e.isReplaced(dead, peers) {
-		delay = replacedCloseDelay
+		delay, quiet = replacedCloseDelay, time.Duration(touchTTLIntervals*float64(minTouchInterval))
 	}
-	if e.now.Sub(n.deadSince) < delay || e.now.Sub(n.changedAt) < touchTTL {
+	if e.now.Sub(n.deadSince) < delay || e.now.Sub(n.changedAt) < quiet {
 		return false
 	}
+	if n.turnEpoch != e.nodes.peersEpoch {
+		n.turnEpoch = e.nodes.peersEpoch
+		n.turn = e.closeTurn(dead, peers)
+	}
+	return e.now.Sub(n.deadSince) >= delay+time.Duration(n.turn)*closeStagger
+}
+
+// closeTurn returns how many live routers come before this one in the order in which they
+// may close a dead incarnation.
+func (e *Edge) closeTurn(dead waxwingwall.Incarnation, peers []member.Peer) int {
 	name := dead.String()
 	ownHash := xxhash.Sum64String(name + string(e.Self.VM))
 	earlier := 0
@@ -71,7 +99,7 @@
 			earlier++
 		}
 	}
-	return e.now.Sub(n.deadSince) >= delay+time.Duration(earlier)*closeStagger
+	return earlier
 }
 
 // isReplaced reports whether a newer incarnation of the same VM has started.
--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"waxwingwall"
@@ -91,7 +92,7 @@
 		Version:    e.config.version,
 		StoreLost:  e.endpoints.storeUnavailable,
 		Requests:   len(e.requests),
-		Peers:      e.view.Peers(now),
+		Peers:      slices.Clone(e.view.Peers(now)),
 		Draining:   !e.drainStart.IsZero(),
 	}
 	for _, service := range e.config.configuration.Services {
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -221,6 +221,10 @@
 		member.WithCallers(e.info.Callers),
 	)
 	e.nodes.registered = false
+	e.nodes.perhapsDeadStale = true
+	e.nodes.peersEpoch++
+	e.nodes.peerUnresponsive = false
+	e.gossip.targets = nil
 	e.limiterStale = true
 	e.fundBudgets()
 	switch e.nodes.stage {
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -33,6 +33,9 @@
 	// partRetention is how long a part that was sent to an endpoint is assumed to
 	// be cached there.
 	partRetention = 20 * time.Second
+
+	// partSweepInterval is the time between two sweeps for parts that are older.
+	partSweepInterval = time.Second
 )
 
 // endpoint is this router's state of one endpoint.
@@ -115,6 +118,9 @@
 	// it last became available again.
 	storeUnavailable bool
 	storeBackAt      time.Time
+
+	// partsExpiredAt is when expireParts last forgot old parts.
+	partsExpiredAt time.Time
 }
 
 func (t *endpoints) init() {
@@ -309,6 +315,10 @@
 
 // expireParts removes the parts that are no longer assumed to be cached.
 func (t *endpoints) expireParts(now time.Time) {
+	if now.Sub(t.partsExpiredAt) < partSweepInterval {
+		return
+	}
+	t.partsExpiredAt = now
 	for _, row := range t.rows {
 		for id, used := range row.parts {
 			if now.Sub(used) > partRetention {
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -1,8 +1,12 @@
 package edge
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingwall"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
@@ -12,8 +16,11 @@
 
 const (
 	// minReportInterval is the minimum time between two reports, maxReportInterval
-	// the time after which one is sent even if nothing changed.
+	// the time after which one is sent even if nothing changed. In a fleet of more
+	// than reportFanout routers the minimum is longer by reportPerPeer for each
+	// further one: a report then tells of a smaller part of the fleet's load.
 	minReportInterval = 200 * time.Millisecond
+	reportPerPeer     = 3 * time.Millisecond
 	maxReportInterval = time.Second
 
 	// reportTTL is how long a reported load is used.
@@ -75,6 +82,18 @@
 	Suspects []quarantine.Suspect
 }
 
+// Sizes of messages and their parts for the queues of links, in bytes: an entry with its
+// names, and a message without entries.
+const (
+	entryBytes   = 64
+	messageBytes = 256
+)
+
+// Size returns the approximate size of the report in bytes.
+func (m Report) Size() int {
+	return messageBytes + entryBytes*(len(m.Loads)+len(m.Departures)+len(m.Reads)+len(m.Suspects))
+}
+
 // PartRead is a prompt part that an endpoint has read.
 type PartRead struct {
 	// Endpoint is the endpoint that read the part.
@@ -101,6 +120,12 @@
 	Revision int64
 }
 
+// Size returns the approximate size of the news in bytes.
+func (m News) Size() int {
+	c := &m.Configuration
+	return messageBytes + 4*entryBytes*(len(m.Replicas)+len(c.Routes)+len(c.Services)+len(c.Accounts))
+}
+
 // Departures reports leaving endpoints without waiting for the next Report.
 type Departures struct {
 	// Departures are those newly reported by the store.
@@ -120,7 +145,9 @@
 	reportedAt  time.Time
 	loadChanged bool
 
-	// livePeers counts the live peers at the last broadcast.
+	// targets are the peers that get the reports, nil if they have to be chosen again;
+	// livePeers counts the live peers then.
+	targets   []waxwingwall.Incarnation
 	livePeers int
 
 	// pendingReads are the parts sent to endpoints since the last report.
@@ -148,10 +175,13 @@
 func (e *Edge) sendReports() {
 	g := &e.gossip
 	elapsed := e.now.Sub(g.reportedAt)
-	if elapsed >= maxReportInterval || g.loadChanged && elapsed >= minReportInterval {
+	if elapsed >= maxReportInterval || g.loadChanged && elapsed >= e.reportInterval() {
 		g.reportedAt = e.now
 		g.loadChanged = false
-		e.broadcast(e.report(), reportFanout)
+		r := e.report()
+		for _, to := range e.reportTargets() {
+			e.send(to, r)
+		}
 	}
 	if len(e.departures.unsent) > 0 {
 		e.broadcast(Departures{
@@ -162,6 +192,37 @@
 	e.sumPeerLoads()
 }
 
+// reportInterval returns the minimum time between two reports.
+func (e *Edge) reportInterval() time.Duration {
+	further := max(e.gossip.livePeers-reportFanout, 0)
+	return min(minReportInterval+time.Duration(further)*reportPerPeer, maxReportInterval)
+}
+
+// reportTargets returns the peers that get the reports: all live ones, or reportFanout of
+// them. They stay the same while they live, since each one costs a connection, and are
+// others at each router.
+func (e *Edge) reportTargets() []waxwingwall.Incarnation {
+	g := &e.gossip
+	if g.targets != nil {
+		return g.targets
+	}
+	g.targets = make([]waxwingwall.Incarnation, 0, reportFanout)
+	for _, p := range e.view.Peers(e.now) {
+		if p.Alive {
+			g.targets = append(g.targets, p.Incarnation)
+		}
+	}
+	g.livePeers = len(g.targets)
+	if g.livePeers <= reportFanout {
+		return g.targets
+	}
+	own := xxhash.Sum64String(string(e.Self.VM))
+	weight := func(i waxwingwall.Incarnation) uint64 { return mix(own, xxhash.Sum64String(string(i.VM))) }
+	slices.SortFunc(g.targets, func(a, b waxwingwall.Incarnation) int { return cmp.Compare(weight(a), weight(b)) })
+	g.targets = slices.Clone(g.targets[:reportFanout])
+	return g.targets
+}
+
 // report returns the report of this router.
 func (e *Edge) report() Report {
 	r := Report{
@@ -198,7 +259,6 @@
 			live = append(live, p)
 		}
 	}
-	e.gossip.livePeers = len(live)
 	if len(live) > limit {
 		e.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 		live = live[:limit]
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -32,13 +32,11 @@
 			live = append(live, p.Incarnation)
 		}
 	}
-	vms := map[waxwingwall.VM]bool{
-		e.Self.VM: true,
+	vms := len(e.nodes.newest)
+	if _, listed := e.nodes.newest[e.Self.VM]; !listed {
+		vms++
 	}
-	for i := range e.nodes.rows {
-		vms[i.VM] = true
-	}
-	e.limits.SetPeers(live, len(vms), e.nodes.registered && e.nodes.loaded, e.Draining())
+	e.limits.SetPeers(live, vms, e.nodes.registered && e.nodes.loaded, e.Draining())
 }
 
 // takeLimits performs the pending actions of the limiter. They can cause others.
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,11 +37,13 @@
 	// router without any heartbeat counts as dead.
 	firstHeartbeatTimeout = 3 * time.Second
 
-	// touchInterval is the interval at which a router that considers another one
-	// dead or suspect updates its own row to show that it is live; touchTTL is how
-	// long an update counts.
-	touchInterval = time.Second
-	touchTTL      = 2500 * time.Millisecond
+	// A router that considers another one dead or suspect updates its own row to show that
+	// it is live: every minTouchInterval, or in a large fleet every touchPerRouter times the
+	// number of routers, which bounds the writes of the fleet, since each of them is read
+	// by all. An update counts for touchTTLIntervals of these intervals.
+	minTouchInterval  = time.Second
+	touchPerRouter    = 25 * time.Millisecond
+	touchTTLIntervals = 2.5
 
 	// slowLinkFactor is how many times slower than the fastest a link must be to
 	// count as slow; minListed is the minimum number of routers listed to callers,
@@ -101,12 +104,32 @@
 	// deadSince is when the incarnation was found dead or replaced by a newer one
 	// of its VM; zero if it is neither.
 	deadSince time.Time
+
+	// turn is the closeTurn of this router for a dead incarnation, as of turnEpoch.
+	turn, turnEpoch int
 }
 
 // nodes is the directory of routers.
 type nodes struct {
 	rows map[waxwingwall.Incarnation]*node
 
+	// sorted are the incarnations in rows, by VM with the newest of each VM last; nil if
+	// out of date.
+	sorted []waxwingwall.Incarnation
+
+	// perhapsDead are the incarnations in rows that are not known to be live, in the order
+	// of sorted; out of date while perhapsDeadStale is set.
+	perhapsDead      []waxwingwall.Incarnation
+	perhapsDeadStale bool
+
+	// peersEpoch counts the changes of the member view; peerUnresponsive is set while a
+	// peer is dead or suspect.
+	peersEpoch       int
+	peerUnresponsive bool
+
+	// addresses are the addresses of VMs as last emitted in PeerAddress.
+	addresses map[waxwingwall.VM]netip.AddrPort
+
 	// newest is the boot time of the newest incarnation of each VM in rows.
 	newest map[waxwingwall.VM]int64
 
@@ -145,6 +168,7 @@
 
 func (t *nodes) init() {
 	t.rows = map[waxwingwall.Incarnation]*node{}
+	t.addresses = map[waxwingwall.VM]netip.AddrPort{}
 }
 
 // Part is the ID.Part of this package's actions.
@@ -200,9 +224,15 @@
 			}
 		}
 	}
+	moved := ev.Snapshot
 	for _, row := range ev.Rows {
-		e.updateNode(row)
+		moved = e.updateNode(row) || moved
+	}
+	if !moved {
+		return
 	}
+	t.sorted = nil
+	t.perhapsDeadStale = true
 	t.newest = make(map[waxwingwall.VM]int64, len(t.rows))
 	for i := range t.rows {
 		t.newest[i.VM] = max(t.newest[i.VM], i.Boot)
@@ -219,27 +249,30 @@
 // updateHolders passes to the book the routers whose shares may still be open.
 func (e *Edge) updateHolders() {
 	if e.nodes.loaded {
-		e.book.SetOpenNodes(append(e.incarnations(), e.Self))
+		e.book.SetOpenNodes(append(slices.Clone(e.incarnations()), e.Self))
 	}
 }
 
-// updateNode applies one row.
-func (e *Edge) updateNode(row waxwingwall.Row) {
+// updateNode applies one row. It reports whether a router came, left or moved, rather than
+// showed that it is live.
+func (e *Edge) updateNode(row waxwingwall.Row) bool {
 	t := &e.nodes
 	i, ok := incarnationOf(row.Key)
 	if !ok {
-		return
+		return false
 	}
 	if row.Version == 0 {
+		_, listed := t.rows[i]
 		delete(t.rows, i)
-		return
+		return listed
 	}
 	content, err := decodeNode(i, row.Value)
 	if err != nil {
 		e.log("node_unreadable", "", field("node", waxwingwall.Excerpt(i.String())), field("version", row.Version), field("cause", waxwingwall.Excerpt(err.Error())))
-		return
+		return false
 	}
 	n := t.rows[i]
+	moved := n == nil || n.row.Peers != content.Peers || n.row.Domain != content.Domain
 	if n == nil {
 		n = &node{
 			firstSeen: e.now,
@@ -251,6 +284,7 @@
 	}
 	n.row = content
 	n.version = row.Version
+	return moved
 }
 
 // decodeNode decodes the row of a router. Another writer may have left anything there.
@@ -296,10 +330,13 @@
 			continue
 		}
 		n := e.nodes.rows[i]
-		e.emit(PeerAddress{
-			VM:      i.VM,
-			Address: n.row.Peers,
-		})
+		if e.nodes.addresses[i.VM] != n.row.Peers {
+			e.nodes.addresses[i.VM] = n.row.Peers
+			e.emit(PeerAddress{
+				VM:      i.VM,
+				Address: n.row.Peers,
+			})
+		}
 		members = append(members, waxwingwall.Member{
 			VM:      i.VM,
 			Address: n.row.Peers,
@@ -313,19 +350,20 @@
 }
 
 // incarnations returns the incarnations that have a row, sorted by VM with the
-// newest of each VM last.
+// newest of each VM last. The result must not be changed.
 func (e *Edge) incarnations() []waxwingwall.Incarnation {
-	all := make([]waxwingwall.Incarnation, 0, len(e.nodes.rows))
-	for i := range e.nodes.rows {
-		all = append(all, i)
+	t := &e.nodes
+	if len(t.sorted) == len(t.rows) {
+		return t.sorted
 	}
-	slices.SortFunc(all, func(a, b waxwingwall.Incarnation) int {
-		if a.VM != b.VM {
-			return strings.Compare(string(a.VM), string(b.VM))
-		}
-		return int(a.Boot - b.Boot)
+	t.sorted = make([]waxwingwall.Incarnation, 0, len(t.rows))
+	for i := range t.rows {
+		t.sorted = append(t.sorted, i)
+	}
+	slices.SortFunc(t.sorted, func(a, b waxwingwall.Incarnation) int {
+		return cmp.Or(strings.Compare(string(a.VM), string(b.VM)), cmp.Compare(a.Boot, b.Boot))
 	})
-	return all
+	return t.sorted
 }
 
 // ensureNewest ensures that this incarnation is the newest of its VM.
@@ -378,11 +416,7 @@
 	if t.pendingCall != 0 && e.now.Sub(t.calledAt) >= registerTimeout {
 		t.pendingCall = 0
 	}
-	peerUnresponsive := false
-	for _, p := range e.view.Peers(e.now) {
-		peerUnresponsive = peerUnresponsive || !p.Alive || p.Suspect
-	}
-	touch := t.registered && peerUnresponsive && e.now.Sub(t.touchedAt) >= touchInterval
+	touch := t.registered && t.peerUnresponsive && e.now.Sub(t.touchedAt) >= e.touchInterval()
 	outdated := t.written != e.eras() || e.versions.rowOutdated(e.now)
 	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch && !outdated {
 		return
@@ -394,6 +428,16 @@
 	e.writeNode()
 }
 
+// touchInterval returns the interval at which the router shows that it is live.
+func (e *Edge) touchInterval() time.Duration {
+	return max(minTouchInterval, time.Duration(len(e.nodes.rows))*touchPerRouter)
+}
+
+// touchTTL returns how long a change of a router's row shows that it is live.
+func (e *Edge) touchTTL() time.Duration {
+	return time.Duration(touchTTLIntervals * float64(e.touchInterval()))
+}
+
 // writeNode writes the router's own row.
 func (e *Edge) writeNode() {
 	t := &e.nodes
@@ -449,18 +493,28 @@
 
 // peersChanged handles a change in the member view.
 func (e *Edge) peersChanged() {
-	var live []waxwingwall.Incarnation
-	for _, p := range e.view.Peers(e.now) {
-		e.emit(PeerAddress{
-			VM:      p.Incarnation.VM,
-			Address: p.Address,
-		})
+	t := &e.nodes
+	t.peersEpoch++
+	t.perhapsDeadStale = true
+	t.peerUnresponsive = false
+	peers := e.view.Peers(e.now)
+	live := make([]waxwingwall.Incarnation, 0, len(peers))
+	for _, p := range peers {
+		if t.addresses[p.Incarnation.VM] != p.Address {
+			t.addresses[p.Incarnation.VM] = p.Address
+			e.emit(PeerAddress{
+				VM:      p.Incarnation.VM,
+				Address: p.Address,
+			})
+		}
 		if p.Alive && !p.Leaving {
 			live = append(live, p.Incarnation)
 		}
+		t.peerUnresponsive = t.peerUnresponsive || !p.Alive || p.Suspect
 		e.logPeerChange(p)
 	}
 	e.book.SetPeers(live)
+	e.gossip.targets = nil
 	e.limiterStale = true
 	e.versions.ownersStale = true
 }
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -149,6 +149,10 @@
 
 	// at is when the row was read or written.
 	at time.Time
+
+	// openHolders is the result of Book.holderCount as of Book.openEpoch; zero if it is not
+	// known.
+	openHolders, openEpoch int
 }
 
 // cachedVerdict is the verdict of the last wait.
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -223,8 +223,10 @@
 
 	peers []waxwingwall.Incarnation
 
-	// openNodes are the nodes that are not known to be closed; nil if unknown.
+	// openNodes are the nodes that are not known to be closed; nil if unknown. openEpoch
+	// counts its changes.
 	openNodes []waxwingwall.Incarnation
+	openEpoch int
 
 	// The entries by budget; each shard holds its own in order.
 	entries map[waxwingwall.Budget]*entry
@@ -288,6 +290,7 @@
 // one. Other nodes are no longer asked and are removed from the holders with
 // the next draw.
 func (b *Book) SetOpenNodes(nodes []waxwingwall.Incarnation) {
+	b.openEpoch++
 	b.openNodes = slices.SortedFunc(slices.Values(nodes), compare)
 }
 
@@ -302,6 +305,17 @@
 	return open
 }
 
+// holderCount returns the number of holders of a budget that are not known to be closed,
+// with this node.
+func (b *Book) holderCount(e *entry) int {
+	p := &e.pool
+	if p.openHolders == 0 || p.openEpoch != b.openEpoch {
+		p.openHolders = len(withHolder(b.holders(p.row), b.self))
+		p.openEpoch = b.openEpoch
+	}
+	return p.openHolders
+}
+
 // closed reports whether another node is known to be closed.
 func (b *Book) closed(node waxwingwall.Incarnation) bool {
 	return b.openNodes != nil && node != b.self && !isHolder(b.openNodes, node)
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -141,7 +141,7 @@
 	if b.unused(e) {
 		return 0
 	}
-	nodes := waxwingwall.Tokens(len(withHolder(b.holders(e.pool.row), b.self)))
+	nodes := waxwingwall.Tokens(b.holderCount(e))
 	total := e.pool.row.Total
 	remaining := b.remaining(e, nodes)
 	if total <= 0 || remaining < total*evenCutoffPercent/100 {
