core/edge, relay: a graceful stop ends with an answer to each request

A stopping router accepted requests for 2.5 s whatever their deadline and closed the connections of those in flight 0.7 s before the grace ended.

- A request that can outlast the stop by its deadline and by the usual time of its route is refused at once as not run, with a Retry-After of 50 to 100 ms, as other routers serve.
- What is still in flight 0.7 s before the end of the grace is cut: its caller gets 504 with an unknown outcome, or the end of the stream that shows that it is not whole.

Ruled out: refuseWaiting, which answers only what has no endpoint.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -50,7 +50,7 @@
 		return e.unknownProblem(http.StatusUnauthorized, "unknown_key", "the key is not in force")
 	}
 	if e.refusesRequests() {
-		return e.unavailableProblem("stopping", "this router is about to stop", 0)
+		return e.unavailableProblem("stopping", "this router is about to stop", stoppingRetryAfter)
 	}
 	r.service = chooseService(r.route, cmp.Or(r.streamName(), r.call.ID))
 	r.rank = r.route.Rank
@@ -65,6 +65,9 @@
 		timeout = defaultTimeout
 	}
 	r.deadline = r.arrived.Add(timeout)
+	if e.outlastsStop(r) {
+		return e.unavailableProblem("stopping", "this router stops before the request could end", stoppingRetryAfter)
+	}
 	if e.quarantined(r) {
 		return e.quarantineProblem()
 	}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -148,6 +148,9 @@
 	// limiterStale is set if the routers that the limiter knows are out of date.
 	limiterStale bool
 
+	// durations are the times of requests by the name of their route.
+	durations map[string]*duration
+
 	// drainStart is when a graceful stop began; zero before that. drainLogged is set once
 	// the log has an entry of its end.
 	drainStart  time.Time
@@ -171,6 +174,7 @@
 		requests:     map[uint64]*request{},
 		retryBudgets: map[waxwingwall.Model]*retryBudget{},
 		permits:      map[uint64]*request{},
+		durations:    map[string]*duration{},
 		crashes: crashTracker{
 			table: quarantine.Table{
 				Retention: crashRetention,
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -112,8 +112,10 @@
 	// eventsBefore is the value of events when the last attempt began.
 	eventsBefore int
 
-	// completed is set once the caller has the whole answer.
+	// completed is set once the caller has the whole answer, cut once the attempt in flight
+	// is cut for the end of a graceful stop.
 	completed bool
+	cut       bool
 
 	// lastAttempt is the result of the last attempt and noRetry why no other followed, for
 	// the log. overdueLogged is set once the log has an entry of a request that has not
@@ -388,6 +390,8 @@
 // retry is taken from the retry budget.
 func (e *Edge) retryObstacle(r *request, ev AttemptEnded) string {
 	switch {
+	case r.cut:
+		return "stopping"
 	case r.deadline.Sub(e.now) < minAttemptTime:
 		return "deadline"
 	case e.quarantined(r):
@@ -434,6 +438,9 @@
 
 // fail ends a request without a complete answer.
 func (e *Edge) fail(r *request, result Result) {
+	if r.attempt > 0 && !r.cut {
+		e.recordDuration(r)
+	}
 	if r.events > 0 || r.lastAttempt.Committed {
 		e.abort(r)
 		return
@@ -520,6 +527,7 @@
 // bill as well.
 func (e *Edge) finish(r *request, target *endpoint, ev AttemptEnded) {
 	r.completed = true
+	e.recordDuration(r)
 	if ev.Status < http.StatusMultipleChoices {
 		e.clearParts(r)
 	}
--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -54,6 +54,15 @@
 	For time.Duration
 }
 
+// CutAttempt ends the attempt of a request that is in flight, whatever its endpoint does. It
+// is answered by AttemptEnded like any end of an attempt.
+type CutAttempt struct {
+	effect.IsAction
+
+	// Request is Arrived.Request.
+	Request uint64
+}
+
 // LeaveAttempt ends an attempt that has stalled. The AttemptEnded that follows, with the
 // result IdleTimeout, is answered by the Dispatch of the next attempt.
 type LeaveAttempt struct {
