relay: send nothing for a caller who has left

The server notices a close in a goroutine of its own, which waits for the processor like all others, and between decision and sending only the limits of the endpoint were looked at.

Now the connection of the caller itself is looked at, without reading, once there is a connection to the endpoint; so is the deadline. Ruled out: the queue of the link (the close came in by the same link). TestNothingIsSentForCallerWhoLeft: 4 of 4 sent before, none now.

--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -123,3 +124,25 @@
 		return err
 	}
 }
+
+// Closed reports whether the peer has closed a connection and all that it sent was read.
+// It neither waits nor reads anything, and may be called while another goroutine reads.
+func Closed(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	if err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		closed = n == 0 && rerr == nil || errors.Is(rerr, unix.ECONNRESET)
+	}); err != nil {
+		return true
+	}
+	return closed
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -260,6 +260,9 @@
 	return nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 // listen starts an HTTP server at an address.
 func (r *Relay) listen(addr netip.AddrPort, h http.Handler) error {
 	l, err := net.Listen("tcp", addr.String())
@@ -271,6 +274,9 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          discardLogger,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	r.closers = append(r.closers, func() { _ = server.Close() })
 	r.spawn(func() {
--- a/relay/request.go
+++ b/relay/request.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -19,6 +20,7 @@
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/io/origin"
+	"waxwingwall/io/tcp"
 )
 
 const (
@@ -61,9 +63,11 @@
 	arrived time.Time
 
 	// rank is the rank in the latest Dispatch or Refuse action; callerLeft is set
-	// once the caller has disconnected.
+	// once the caller has disconnected. callerGone is set if an attempt was withheld for
+	// that reason.
 	rank       waxwingwall.Rank
 	callerLeft bool
+	callerGone bool
 
 	// actions are the pending actions from the control goroutine.
 	actions chan effect.Action
@@ -241,7 +245,7 @@
 	p.bufferedAnswer = nil
 	var times attemptTimes
 	outcome := p.exchange(ctx, d, times.record)
-	if p.r.Context().Err() != nil && outcome.Result != edge.Complete {
+	if (p.r.Context().Err() != nil || p.callerGone) && outcome.Result != edge.Complete {
 		// A caller may close its connection as soon as it has the complete answer.
 		p.reportCallerLeft()
 		return
@@ -304,7 +308,7 @@
 		Body:          p.body,
 		DialTimeout:   d.DialTimeout,
 		SendBy:        d.SendBy,
-		Withhold:      func() bool { return p.relay.withholds(d) },
+		Withhold:      func() bool { return p.relay.withholds(d) || p.abandoned(d) },
 		HeaderTimeout: d.FirstTimeout,
 		IdleTimeout:   d.IdleTimeout,
 		KeepWaiting:   func(idle time.Duration) time.Duration { return p.reportStalled(ctx, d, idle) },
@@ -348,6 +352,16 @@
 	return 0
 }
 
+// abandoned reports, just before a request is sent, that nobody waits for the answer. On a
+// busy VM the server notices only later that the caller has closed its connection, and the
+// time since the decision counts as well.
+func (p *proxyRequest) abandoned(d edge.Dispatch) bool {
+	if conn, ok := p.r.Context().Value(connKey{}).(net.Conn); ok && tcp.Closed(conn) {
+		p.callerGone = true
+	}
+	return p.callerGone || p.r.Context().Err() != nil || !time.Now().Before(d.Deadline)
+}
+
 // reportLimit reports the limit that an endpoint names in the header of an answer, or
 // that it names none any more.
 func (p *proxyRequest) reportLimit(d edge.Dispatch, answer *origin.Answer) {
