--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -16,6 +16,14 @@
 	// not answer, with even shares.
 	offlineRoundInterval = 100 * time.Millisecond
 
+	// maxRoundDoublings is how often the time between these rounds doubles.
+	maxRoundDoublings = 2
+
+	// Peers that are asked in a first round are asked for askSurplus times what is missing
+	// together, as some of them have none, and for what later requests use in askLeadTime.
+	askSurplus  = 4
+	askLeadTime = time.Second
+
 	// contendedFailures is the number of consecutive failed calls of a shard from
 	// which peers are asked in parallel.
 	contendedFailures = 2
@@ -166,7 +174,6 @@
 		return
 	}
 	if b.pacing.evenShares {
-		w.nextRound = b.now.Add(offlineRoundInterval)
 		b.askPeersInRotation(e)
 		return
 	}
@@ -183,35 +190,62 @@
 	}
 }
 
-// askPeersInRotation asks peers for tokens in rotation, since the holders last
-// read may be only a few of the current ones. It asks each for part of the missing
-// tokens, and for more in later rounds.
+// askPeersInRotation asks peers for tokens in rotation: the holders last read, and others
+// as well while there are few of these, since they may be only a few of the current ones. It
+// asks for what is missing and for the next requests, from each for a part of it, and for
+// more in later rounds, which follow each other more slowly.
 func (b *Book) askPeersInRotation(e *entry) {
 	w := &e.wait
 	nodes := b.others(b.peers)
-	for _, node := range b.others(e.pool.row.Holders) {
-		nodes = withHolder(nodes, node)
+	if len(nodes) == 0 {
+		nodes = b.others(e.pool.row.Holders)
 	}
 	if len(nodes) == 0 {
 		return
 	}
+	holders := b.liveHolders(e)
 	missing := max(w.need, w.smallest) - e.free()
-	want := min(missing, missing<<min(w.offlineRounds+1, 16)/waxwingwall.Tokens(len(nodes))+1)
+	asked := min(b.pacing.fallbackPeers, len(nodes))
+	want := missing
+	if w.offlineRounds == 0 {
+		lead := waxwingwall.Tokens(e.demand.spendRate(b.now) * askLeadTime.Seconds())
+		want = min(missing, askSurplus*missing/waxwingwall.Tokens(asked)+1) + lead/waxwingwall.Tokens(asked)
+	}
 	w.offlineRounds++
+	w.nextRound = b.now.Add(offlineRoundInterval << min(w.offlineRounds-1, maxRoundDoublings))
 	b.roundCount++
 	if b.now.Sub(w.drawerAskedAt) >= drawInterval {
 		w.drawer = b.nextDrawer(e, nodes)
 		w.drawerAskedAt = b.now
 		b.askToDraw(e, w.drawer, missing, b.roundCount)
 	}
-	for range min(b.pacing.fallbackPeers, len(nodes)) {
+	fromHolders := asked
+	if len(holders) < asked {
+		fromHolders = len(holders)
+	}
+	for i := range asked {
+		from := nodes
+		if i < fromHolders {
+			from = holders
+		}
 		b.nextPeer++
-		if to := nodes[b.nextPeer%len(nodes)]; to != w.drawer {
+		if to := from[b.nextPeer%len(from)]; to != w.drawer {
 			b.ask(e, to, want, b.roundCount)
 		}
 	}
 }
 
+// liveHolders returns the other holders last read that are live.
+func (b *Book) liveHolders(e *entry) []waxwingwall.Incarnation {
+	var live []waxwingwall.Incarnation
+	for _, node := range e.pool.row.Holders {
+		if node != b.self && isHolder(b.peers, node) {
+			live = append(live, node)
+		}
+	}
+	return live
+}
+
 // nextDrawer returns the peer to ask to draw: first the one that last did, then the
 // others in rotation.
 func (b *Book) nextDrawer(e *entry, nodes []waxwingwall.Incarnation) waxwingwall.Incarnation {
--- a/core/escrow/world_test.go
+++ b/core/escrow/world_test.go
@@ -14,6 +14,9 @@
 
 // world simulates a table, a network and nodes in virtual time.
 type world struct {
+	// messages counts the messages between nodes.
+	messages int
+
 	now      time.Time
 	random   *rand.Rand
 	rows     map[string]waxwingwall.Row
@@ -396,6 +399,7 @@
 
 func (n *testNode) send(a effect.Send) {
 	w := n.w
+	w.messages++
 	for _, to := range w.nodes {
 		if to.book.self != a.To {
 			continue
