core/member, core/escrow: fewer connections for control in a large fleet

The heartbeat to a random peer, which nearly always needs one at 295 routers, now goes out in each fifth round there, and reports go to 12 of the 16 peers that get notices of draws. That list is kept until the peers change.

--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -1,12 +1,9 @@
 package edge
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"waxwingwall"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
@@ -199,8 +196,8 @@
 }
 
 // reportTargets returns the peers that get the reports: all live ones, or reportFanout of
-// them. They stay the same while they live, since each one costs a connection, and are
-// others at each router.
+// them. They stay the same while they live, since each one costs a connection, are others
+// at each router, and get notices of draws as well (escrow.Witnesses).
 func (e *Edge) reportTargets() []waxwingwall.Incarnation {
 	g := &e.gossip
 	if g.targets != nil {
@@ -216,10 +213,7 @@
 	if g.livePeers <= reportFanout {
 		return g.targets
 	}
-	own := xxhash.Sum64String(string(e.Self.VM))
-	weight := func(i waxwingwall.Incarnation) uint64 { return mix(own, xxhash.Sum64String(string(i.VM))) }
-	slices.SortFunc(g.targets, func(a, b waxwingwall.Incarnation) int { return cmp.Compare(weight(a), weight(b)) })
-	g.targets = slices.Clone(g.targets[:reportFanout])
+	g.targets = slices.Clone(escrow.Witnesses(e.Self, g.targets)[:reportFanout])
 	return g.targets
 }
 
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -223,6 +223,9 @@
 
 	peers []waxwingwall.Incarnation
 
+	// witnessList is the result of witnesses; nil if it is out of date.
+	witnessList []waxwingwall.Incarnation
+
 	// openNodes are the nodes that are not known to be closed; nil if unknown. openEpoch
 	// counts its changes.
 	openNodes []waxwingwall.Incarnation
@@ -284,6 +287,7 @@
 // not known.
 func (b *Book) SetPeers(peers []waxwingwall.Incarnation) {
 	b.peers = slices.SortedFunc(slices.Values(peers), compare)
+	b.witnessList = nil
 }
 
 // SetOpenNodes sets the nodes that are not known to be closed, including this
--- a/core/escrow/notice.go
+++ b/core/escrow/notice.go
@@ -57,18 +57,37 @@
 	}
 }
 
-// witnesses returns the peers to notify: the same ones for as long as they live, so that
-// each knows all draws.
+// witnesses returns the peers to notify.
 func (b *Book) witnesses() []waxwingwall.Incarnation {
-	to := b.others(b.peers)
-	if len(to) <= noticeFanout {
-		return to
+	if b.witnessList == nil {
+		b.witnessList = Witnesses(b.self, b.others(b.peers))
 	}
-	weight := func(peer waxwingwall.Incarnation) uint64 {
-		return xxhash.Sum64String(string(b.self.VM) + "/" + string(peer.VM))
+	return b.witnessList
+}
+
+// Witnesses returns the peers that a node notifies of its draws: all of them, or
+// noticeFanout, the same ones for as long as they live, so that each knows all draws.
+func Witnesses(self waxwingwall.Incarnation, peers []waxwingwall.Incarnation) []waxwingwall.Incarnation {
+	if len(peers) <= noticeFanout {
+		return peers
+	}
+	type weighted struct {
+		node   waxwingwall.Incarnation
+		weight uint64
+	}
+	all := make([]weighted, 0, len(peers))
+	for _, p := range peers {
+		all = append(all, weighted{
+			node:   p,
+			weight: xxhash.Sum64String(string(self.VM) + "/" + string(p.VM)),
+		})
+	}
+	slices.SortFunc(all, func(x, y weighted) int { return cmp.Compare(x.weight, y.weight) })
+	to := make([]waxwingwall.Incarnation, 0, noticeFanout)
+	for _, w := range all[:noticeFanout] {
+		to = append(to, w.node)
 	}
-	slices.SortFunc(to, func(x, y waxwingwall.Incarnation) int { return cmp.Compare(weight(x), weight(y)) })
-	return to[:noticeFanout]
+	return to
 }
 
 // Notices holds the latest GrantNotices of other nodes. Its zero value is ready to use.
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -75,6 +75,10 @@
 	// starts.
 	syncHeartbeats = 8
 
+	// peersPerContact is the number of peers for each round of heartbeats without one to a
+	// random peer, which mostly costs a new connection.
+	peersPerContact = 64
+
 	// maxProbers is the maximum number of routers asked to probe a silent one.
 	maxProbers = 3
 
@@ -179,11 +183,12 @@
 	peersStale bool
 
 	// lastTick is when the last tick was, nextHeartbeat when the next heartbeats
-	// are due, lastSync when this router last started an exchange of views,
+	// are due, rounds how often they were sent, lastSync when this router last started an exchange of views,
 	// lastUpdate when a rumour last changed the view, and lastReceived when the
 	// last heartbeat arrived, moved forward by pauses of this router.
 	lastTick      time.Time
 	nextHeartbeat time.Time
+	rounds        int
 	lastSync      time.Time
 	lastUpdate    time.Time
 	lastReceived  time.Time
--- a/core/member/step.go
+++ b/core/member/step.go
@@ -230,6 +230,10 @@
 		r := v.find(vm)
 		v.sendHeartbeat(vm, r.rumour.Incarnation.Boot == 0 || v.silent(now, r))
 	}
+	v.rounds++
+	if v.rounds%(1+len(v.rows)/peersPerContact) != 0 {
+		return
+	}
 	if vm, ok := v.randomPeer(); ok {
 		v.sendHeartbeat(vm, true)
 	}
--- a/io/peer/links_test.go
+++ b/io/peer/links_test.go
@@ -248,3 +248,27 @@
 	}
 	return addr
 }
+
+// BenchmarkMessage measures one message to a peer and its receipt.
+func BenchmarkMessage(b *testing.B) {
+	c, addr := serveCollector(b)
+	links := newTestLinks(b, WithIdleTimeout(time.Minute))
+	links.SetAddress(vm(0), addr)
+	b.ReportAllocs()
+	for b.Loop() {
+		links.Send(envelope(vm(0), 100))
+		<-c.received
+	}
+}
+
+// BenchmarkFirstMessage measures the first message over a new connection.
+func BenchmarkFirstMessage(b *testing.B) {
+	c, addr := serveCollector(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		links := newTestLinks(b)
+		links.SetAddress(vm(0), addr)
+		links.Send(envelope(vm(0), 100))
+		<-c.received
+	}
+}
