--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -82,8 +82,10 @@
 	// reserved counts this router's requests that leave another attempt for the endpoint.
 	reserved int
 
-	// peerLoad is the load reported by the other routers.
-	peerLoad load
+	// peerLoad is the load reported by the other routers, peerFailureRate and peerSlowdown
+	// the highest values that they report.
+	peerLoad                      load
+	peerFailureRate, peerSlowdown float64
 
 	// slowdown is the smoothed ratio of the actual to the expected time to the
 	// first part of an answer.
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -32,6 +32,14 @@
 	reportFanout    = 12
 	departureFanout = 36
 
+	// closeFanout limits the peers that a router which callers use exchanges reports with
+	// because callers use them too.
+	closeFanout = 24
+
+	// Endpoints are reported as troubled from these values on.
+	minReportedFailures = 0.15
+	minReportedSlowdown = 1.5
+
 	// askInterval is the minimum time between two AskNews messages.
 	askInterval = 300 * time.Millisecond
 
@@ -53,6 +61,16 @@
 	Memory  waxwingwall.Tokens
 }
 
+// EndpointTrouble is what a router sees of an endpoint that fails or is slow.
+type EndpointTrouble struct {
+	// Endpoint is the endpoint.
+	Endpoint waxwingwall.Endpoint
+
+	// FailureRate is the fraction of failed attempts, Slowdown the ratio of the actual to
+	// the expected time to the first part of an answer.
+	FailureRate, Slowdown float64
+}
+
 // Report informs a peer of the sender's load and of the versions it has.
 type Report struct {
 	// Version is the version of the sender's active configuration.
@@ -68,6 +86,9 @@
 	// Loads are the endpoints at which the sender has requests in flight.
 	Loads []EndpointLoad
 
+	// Troubles are the endpoints that fail or are slow by the sender's own requests.
+	Troubles []EndpointTrouble
+
 	// Departures are leaving endpoints.
 	Departures []Departure
 
@@ -88,7 +109,7 @@
 
 // Size returns the approximate size of the report in bytes.
 func (m Report) Size() int {
-	return messageBytes + entryBytes*(len(m.Loads)+len(m.Departures)+len(m.Reads)+len(m.Suspects))
+	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Departures)+len(m.Reads)+len(m.Suspects))
 }
 
 // PartRead is a prompt part that an endpoint has read.
@@ -214,9 +235,46 @@
 		return g.targets
 	}
 	g.targets = slices.Clone(escrow.Witnesses(e.Self, g.targets)[:reportFanout])
+	for _, peer := range e.closePeers() {
+		if !slices.Contains(g.targets, peer) {
+			g.targets = append(g.targets, peer)
+		}
+	}
 	return g.targets
 }
 
+// closePeers returns the live peers that are listed to callers, if this router is as well
+// and they are few. Where the requests are, the load of each endpoint and the trouble with
+// it have to be known.
+func (e *Edge) closePeers() []waxwingwall.Incarnation {
+	peers := e.view.Peers(e.now)
+	fastest := e.info.LinkMbps
+	link := func(i waxwingwall.Incarnation) int {
+		if n := e.nodes.rows[i]; n != nil {
+			return n.row.LinkMbps
+		}
+		return 0
+	}
+	for _, p := range peers {
+		if p.Alive {
+			fastest = max(fastest, link(p.Incarnation))
+		}
+	}
+	if e.info.LinkMbps*slowLinkFactor < fastest {
+		return nil
+	}
+	var listed []waxwingwall.Incarnation
+	for _, p := range peers {
+		if p.Alive && !p.Leaving && link(p.Incarnation)*slowLinkFactor >= fastest {
+			listed = append(listed, p.Incarnation)
+		}
+	}
+	if len(listed) > closeFanout {
+		return nil
+	}
+	return listed
+}
+
 // report returns the report of this router.
 func (e *Edge) report() Report {
 	r := Report{
@@ -230,6 +288,14 @@
 	e.gossip.pendingReads = nil
 	for _, s := range e.config.configuration.Services {
 		for _, row := range e.endpoints.byService[s.Name] {
+			row.decay(e.now)
+			if row.failureRate >= minReportedFailures || row.slowdown >= minReportedSlowdown {
+				r.Troubles = append(r.Troubles, EndpointTrouble{
+					Endpoint:    row.replica.Endpoint,
+					FailureRate: row.failureRate,
+					Slowdown:    row.slowdown,
+				})
+			}
 			if row.running == 0 {
 				continue
 			}
@@ -402,6 +468,8 @@
 func (e *Edge) sumPeerLoads() {
 	for _, row := range e.endpoints.rows {
 		row.peerLoad = load{}
+		row.peerFailureRate = 0
+		row.peerSlowdown = 0
 	}
 	for from, r := range e.gossip.reports {
 		if e.now.Sub(r.receivedAt) > reportTTL {
@@ -415,6 +483,12 @@
 				row.peerLoad.memory += l.Memory
 			}
 		}
+		for _, trouble := range r.Troubles {
+			if row := e.endpoints.rows[trouble.Endpoint]; row != nil {
+				row.peerFailureRate = max(row.peerFailureRate, trouble.FailureRate)
+				row.peerSlowdown = max(row.peerSlowdown, trouble.Slowdown)
+			}
+		}
 	}
 }
 
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -87,6 +87,9 @@
 	// requests are those in flight, by router and number.
 	requests map[[2]uint64]*limitRequest
 
+	// linkMbps returns the speed of a router's link; nil if it is not known.
+	linkMbps func(i int) int
+
 	// slowTicks is set if routers of a large fleet tick less often.
 	slowTicks bool
 
@@ -268,12 +271,20 @@
 	}
 }
 
+// link returns the speed of a router's link; zero if it is not known.
+func (m *limitModel) link(i int) int {
+	if m.linkMbps == nil {
+		return 0
+	}
+	return m.linkMbps(i)
+}
+
 func (m *limitModel) nodeRow(i int) waxwingwall.Row {
 	m.version++
 	return waxwingwall.Row{
 		Key:     NodeKey(m.incarnation(i)),
 		Version: m.version,
-		Value:   fmt.Sprintf(`{"peers":"10.9.%d.%d:1","callers":"10.9.%d.%d:2","domain":"d%d"}`, i/200, i%200+1, i/200, i%200+1, i%3),
+		Value:   fmt.Sprintf(`{"peers":"10.9.%d.%d:1","callers":"10.9.%d.%d:2","domain":"d%d","link":%d}`, i/200, i%200+1, i/200, i%200+1, i%3, m.link(i)),
 	}
 }
 
@@ -287,6 +298,8 @@
 			Peers:   netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:1", i/200, i%200+1)),
 			Callers: netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:2", i/200, i%200+1)),
 			Domain:  waxwingwall.Domain(fmt.Sprintf("d%d", i%3)),
+
+			LinkMbps: m.link(i),
 		},
 		WithSeed(uint64(1000*r.life+i)),
 	)
--- a/core/edge/load_test.go
+++ b/core/edge/load_test.go
@@ -325,3 +325,84 @@
 		}
 	}
 }
+
+// TestTroubleSpreads: an endpoint is slow or fails its requests. Another router, which has
+// sent it nothing, learns it from a report, avoids it, and uses it again once nobody
+// reports it any more.
+func TestTroubleSpreads(t *testing.T) {
+	for name, trouble := range map[string]func(h *harness, d Dispatch){
+		"failing": func(h *harness, d Dispatch) { h.endAttempt(d, AttemptEnded{Result: Failed, Status: 500}) },
+		"slow": func(h *harness, d Dispatch) {
+			h.advance(2 * time.Second)
+			h.step(AnswerStarted{Request: d.Request, Attempt: d.Attempt})
+			h.endAttempt(d, AttemptEnded{Committed: true, Events: 1})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newHarness(t), newHarness(t)
+			var troubled waxwingwall.Endpoint
+			for i := range uint64(12) {
+				_, out := a.arrive(prompt(7, 100+i))
+				d := only[Dispatch](a, out)
+				if i == 0 {
+					troubled = d.Params.Endpoint
+				}
+				if d.Params.Endpoint == troubled {
+					trouble(a, d)
+					continue
+				}
+				a.endAttempt(d, AttemptEnded{Committed: true, Events: 1})
+			}
+			preferred := only[Dispatch](b, second(b.arrive(prompt(7, 1)))).Params.Endpoint
+			if preferred != troubled {
+				t.Fatalf("%s is preferred to %s without a report", preferred, troubled)
+			}
+			report := a.edge.report()
+			if len(report.Troubles) == 0 || !report.valid() {
+				t.Fatalf("no valid trouble in %+v", report)
+			}
+			report.Reads = nil // Only the trouble is to count.
+			b.step(effect.Received{
+				From:    waxwingwall.Incarnation{VM: "vm-2", Boot: 1},
+				Message: report,
+			})
+			b.advance(100 * time.Millisecond)
+			if d := only[Dispatch](b, second(b.arrive(prompt(7, 2)))); d.Params.Endpoint == troubled {
+				t.Error("sent to the troubled endpoint")
+			}
+			b.advance(2 * reportTTL)
+			row := b.edge.endpoints.rows[troubled]
+			if row.peerFailureRate != 0 || row.peerSlowdown != 0 {
+				t.Errorf("still avoided: %v, %v", row.peerFailureRate, row.peerSlowdown)
+			}
+		})
+	}
+}
+
+// TestListedRoutersReport: callers use a few fast routers of a large fleet. Each of these
+// reports to all others of them.
+func TestListedRoutersReport(t *testing.T) {
+	const fast = 10
+	m := newLimitModel(t, 1, 72, 9, func(m *limitModel) {
+		m.linkMbps = func(i int) int {
+			if i < fast {
+				return 200
+			}
+			return 20
+		}
+	})
+	m.run(2 * time.Second)
+	for i := range fast {
+		known := 0
+		for from := range m.routers[i].edge.gossip.reports {
+			for j := range fast {
+				if m.incarnation(j) == from {
+					known++
+				}
+			}
+		}
+		if known != fast-1 {
+			t.Errorf("router %d has reports of %d of the %d others", i, known, fast-1)
+		}
+	}
+}
--- a/core/edge/news.go
+++ b/core/edge/news.go
@@ -79,5 +79,10 @@
 			return false
 		}
 	}
+	for _, t := range m.Troubles {
+		if !(t.FailureRate >= 0 && t.FailureRate <= 1) || !(t.Slowdown >= 0 && t.Slowdown <= maxSlowdown) {
+			return false
+		}
+	}
 	return isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && len(m.Reads) <= maxReads
 }
--- a/core/edge/placement.go
+++ b/core/edge/placement.go
@@ -39,6 +39,10 @@
 	// to fail; it is multiplied by the endpoint's failure rate.
 	failureCostMs = 4000.0
 
+	// peerWeight is the weight of the slowdown and failure rate that peers report, against
+	// the router's own.
+	peerWeight = 0.7
+
 	// backoffCostMs is the penalty for an endpoint in backoff, in milliseconds.
 	backoffCostMs = 20000.0
 
@@ -74,6 +78,9 @@
 	// uncached is the number of prompt tokens that the endpoint has to read.
 	uncached waxwingwall.Tokens
 
+	// slowdown is the one that cost was estimated with.
+	slowdown float64
+
 	// candidates counts the endpoints that were compared.
 	candidates int
 }
@@ -142,11 +149,14 @@
 		endpoint: row,
 	}
 	running := float64(row.running + row.peerLoad.running)
+	slowdown := max(row.slowdown, peerWeight*row.peerSlowdown)
+	failureRate := max(row.failureRate, peerWeight*row.peerFailureRate)
+	c.slowdown = slowdown
 	if s := e.config.services[r.service]; s != nil && s.Engine {
 		c.uncached = r.uncached(e.now, row)
 		queued := row.prefill + row.peerLoad.prefill
 		reread := max(c.uncached-r.unshared(), 0)
-		c.cost = (float64(queued+c.uncached)/prefillTokensPerMs + running*runningCostMs) * row.slowdown
+		c.cost = (float64(queued+c.uncached)/prefillTokensPerMs + running*runningCostMs) * slowdown
 		c.cost += rereadFactor * float64(reread) / prefillTokensPerMs
 		if preferred {
 			c.cost -= preferredDiscount * float64(c.uncached) / prefillTokensPerMs
@@ -160,7 +170,7 @@
 			c.cost += memoryCostMs * (running + 1 - slots) / slots
 		}
 	} else {
-		c.cost = serviceCostMs * row.slowdown * (1 + running/float64(max(row.replica.Slots, 1)))
+		c.cost = serviceCostMs * slowdown * (1 + running/float64(max(row.replica.Slots, 1)))
 		if slots := float64(row.replica.Slots); slots > 0 && running >= slots {
 			c.cost += serviceCostMs * (running + 1 - slots)
 		}
@@ -169,7 +179,7 @@
 	if e.now.Before(row.backoffUntil) {
 		c.cost += backoffCostMs
 	}
-	c.cost += row.failureRate * failureCostMs
+	c.cost += failureRate * failureCostMs
 	return c
 }
 
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -76,8 +76,11 @@
 	sentBuild      build
 	uncachedTokens waxwingwall.Tokens
 	expectedCost   float64
-	answerStarted  bool
-	firstLatency   time.Duration
+
+	// expectedSlowdown is the slowdown in expectedCost.
+	expectedSlowdown float64
+	answerStarted    bool
+	firstLatency     time.Duration
 
 	// firstTimeout is the time from sentAt after which the attempt may be left if the
 	// answer has not begun. stalledAt is the last attempt that has stalled; next is the
@@ -187,6 +190,7 @@
 	r.sentAt = e.now
 	r.sentBuild = c.endpoint.build
 	r.expectedCost = c.cost
+	r.expectedSlowdown = max(c.slowdown, minSlowdown)
 	r.uncachedTokens = c.uncached
 	r.answerStarted = false
 	r.firstLatency = 0
@@ -272,7 +276,7 @@
 	e.releaseSpare(r)
 	r.endpoint.heardAt = e.now
 	r.endpoint.recordReachable()
-	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.endpoint.slowdown)
+	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.expectedSlowdown)
 	e.gossip.loadChanged = true
 	if ev.Event {
 		e.streamBegins(r)
