--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -150,26 +150,11 @@
 	// at is when the row was read or written.
 	at time.Time
 
-	// drawRate is what all nodes together draw, less what they return, in tokens a second,
-	// smoothed over pacing.rateWindow.
-	drawRate float64
-
 	// openHolders is the result of Book.holderCount as of Book.openEpoch; zero if it is not
 	// known.
 	openHolders, openEpoch int
 }
 
-// setPool replaces the pool by a row that was read or written.
-func (e *entry) setPool(next pool) {
-	next.drawRate = e.pool.drawRate
-	before := e.pool.row.Granted - e.pool.row.Returned
-	if passed := next.at.Sub(e.pool.at).Seconds(); e.pool.version > 0 && next.version > e.pool.version && passed > 0 {
-		drawn := float64(next.row.Granted-next.row.Returned-before) / passed
-		next.drawRate += (drawn - next.drawRate) * (1 - math.Exp(-passed/e.demand.pacing.rateWindow.Seconds()))
-	}
-	e.pool = next
-}
-
 // cachedVerdict is the verdict of the last wait.
 type cachedVerdict struct {
 	kind   Kind
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -86,14 +86,6 @@
 	evenMaxPercent = 40
 	evenMinPercent = 20
 
-	// In a large fleet, the holders hold evenUniformPercent of what remains in even shares,
-	// and evenUsePercent of it by what each of them uses, but no node more than
-	// evenLargestPart of that, unless an even share is more. As the ones that use most
-	// change, the sum can be higher for some seconds, up to evenMaxPercent.
-	evenUniformPercent = 4
-	evenUsePercent     = 24
-	evenLargestPart    = 1.0 / 12
-
 	// evenWideAbove is the part of a budget that must remain for these bounds to
 	// apply in full. Below it they shrink with the power evenNarrowing of what
 	// remains.
@@ -152,28 +144,14 @@
 	nodes := waxwingwall.Tokens(b.holderCount(e))
 	total := e.pool.row.Total
 	remaining := b.remaining(e, nodes)
-	if b.largeFleet() {
-		// Many others draw before this node reads the row again.
-		age := min(b.now.Sub(e.pool.at), evenRefreshInterval)
-		remaining -= waxwingwall.Tokens(e.pool.drawRate * age.Seconds())
-	}
 	if total <= 0 || remaining < total*evenCutoffPercent/100 {
 		return 0
 	}
 	width := math.Pow(min(float64(remaining)/float64(total)/evenWideAbove, 1), evenNarrowing)
-	even := width * float64(remaining) / float64(nodes)
+	share := width * float64(remaining) / float64(nodes)
 	e.demand.decay(b.now)
-	rate := e.demand.spendRate(b.now)
-	buffer := rate * evenBufferTime.Seconds() * evenBurstFactor
-	if !b.largeFleet() {
-		return waxwingwall.Tokens(min(max(buffer, even*evenMinPercent/100), even*evenMaxPercent/100))
-	}
-	// Most of many holders use little, and a few use most.
-	part := rate / max(e.pool.drawRate, rate, 1)
-	least := even * evenUniformPercent / 100
-	part = min(part, max(evenLargestPart, 1/float64(nodes)))
-	most := least + width*float64(remaining)*part*evenUsePercent/100
-	return waxwingwall.Tokens(min(max(buffer, least), most))
+	buffer := e.demand.spendRate(b.now) * evenBufferTime.Seconds() * evenBurstFactor
+	return waxwingwall.Tokens(min(max(buffer, share*evenMinPercent/100), share*evenMaxPercent/100))
 }
 
 // remaining estimates what is left of a budget: the pool and what the nodes hold.
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -359,12 +359,12 @@
 		}
 		e.row = c.row
 		if c.writesPool {
-			e.setPool(pool{
+			e.pool = pool{
 				known:   true,
 				version: versions[at],
 				row:     c.pool,
 				at:      b.now,
-			})
+			}
 			at++
 		}
 		switch {
@@ -477,12 +477,12 @@
 		b.counts.Unreadable++
 		return
 	}
-	e.setPool(pool{
+	e.pool = pool{
 		known:   true,
 		version: row.Version,
 		row:     e.withFunding(content),
 		at:      b.now,
-	})
+	}
 	e.clearUnlisted()
 	e.limitDrawing()
 }
