--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -216,8 +216,8 @@
 	return min(minReportInterval+time.Duration(further)*reportPerPeer, maxReportInterval)
 }
 
-// reportTargets returns the peers that get the reports: all live ones, or reportFanout of
-// them. They stay the same while they live, since each one costs a connection, are others
+// reportTargets returns the peers that get the reports: all live ones if they are few, or
+// reportFanout of them. They stay the same while they live, since each one costs a connection, are others
 // at each router, and get notices of draws as well (escrow.Witnesses).
 func (e *Edge) reportTargets() []waxwingwall.Incarnation {
 	g := &e.gossip
@@ -234,7 +234,11 @@
 	if g.livePeers <= reportFanout {
 		return g.targets
 	}
-	g.targets = slices.Clone(escrow.Witnesses(e.Self, g.targets)[:reportFanout])
+	witnesses := escrow.Witnesses(e.Self, g.targets)
+	if len(witnesses) == len(g.targets) {
+		return g.targets
+	}
+	g.targets = slices.Clone(witnesses[:reportFanout])
 	for _, peer := range e.closePeers() {
 		if !slices.Contains(g.targets, peer) {
 			g.targets = append(g.targets, peer)
