--- a/core/edge/fleet_test.go
+++ b/core/edge/fleet_test.go
@@ -156,17 +156,17 @@
 	}
 	m.loadAccounts()
 	m.run(4 * time.Second)
-	heard := map[waxwingwall.VM]int{}
+	reportsTo := map[waxwingwall.VM]int{}
 	for i := range reached {
 		if len(reached[i]) > most {
 			t.Errorf("router %d sent reports to %d peers", i, len(reached[i]))
 		}
 		for vm := range reached[i] {
-			heard[vm]++
+			reportsTo[vm]++
 		}
 	}
-	if len(heard) != len(m.routers) {
-		t.Errorf("%d of %d routers get reports", len(heard), len(m.routers))
+	if len(reportsTo) != len(m.routers) {
+		t.Errorf("%d of %d routers get reports", len(reportsTo), len(m.routers))
 	}
 }
 
@@ -214,7 +214,7 @@
 			}
 		}
 		if old > 0 {
-			t.Errorf("router %d has old news of %d others %v after their start", i, old, bound)
+			t.Errorf("router %d does not know %d new incarnations %v after their start", i, old, bound)
 		}
 	}
 }
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -15,7 +15,7 @@
 	// minReportInterval is the minimum time between two reports, maxReportInterval
 	// the time after which one is sent even if nothing changed. In a fleet of more
 	// than reportFanout routers the minimum is longer by reportPerPeer for each
-	// further one: a report then tells of a smaller part of the fleet's load.
+	// further one: each report then covers a smaller part of the fleet's load.
 	minReportInterval = 200 * time.Millisecond
 	reportPerPeer     = 3 * time.Millisecond
 	maxReportInterval = time.Second
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -13,7 +13,7 @@
 // Limits of the links.
 const (
 	// maxQueuedBytes limits the messages that are queued for all peers together, in
-	// bytes as told by Sizer, and maxLinkBytes those for one peer, unless it is a single
+	// bytes by Sizer, and maxLinkBytes those for one peer, unless it is a single
 	// message. Further messages are dropped, which the decision logic treats as lost.
 	maxQueuedBytes = 4 << 20
 	maxLinkBytes   = 512 << 10
