relay: carry out the cut at the end of a stop, finish the answers

The attempt in flight is now cut. At the end the listener for callers is closed, and all requests that are being read or answered get until 0.1 s before the end of the grace, so that nothing is accepted that will not be read.

--- a/core/edge/drain.go
+++ b/core/edge/drain.go
@@ -156,5 +156,7 @@
 		e.drainLogged = true
 		e.log("drain_ends", "", field("requests", len(e.requests)), field("after", e.now.Sub(e.drainStart)))
 	}
-	e.emit(Drained{})
+	e.emit(Drained{
+		End: e.drainStart.Add(e.bounds.Grace),
+	})
 }
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -318,9 +318,13 @@
 	Address netip.AddrPort
 }
 
-// Drained means that a graceful stop is complete.
+// Drained means that a graceful stop is complete, but for the answers that are being
+// written.
 type Drained struct {
 	effect.IsAction
+
+	// End is when the grace period ends.
+	End time.Time
 }
 
 // Field is a named value in a log entry.
--- a/relay/control.go
+++ b/relay/control.go
@@ -141,13 +141,17 @@
 	case edge.LogEntry:
 		r.logEntry(now, a)
 	case edge.Drained:
-		r.drainedOnce.Do(func() { close(r.drained) })
+		r.drainedOnce.Do(func() { r.spawn(func() { r.finishAnswers(a.End) }) })
 	case edge.Probe:
 		r.spawn(func() { r.probe(a) })
 	case edge.Dispatch:
 		r.sendAction(a.Request, a, false)
 	case edge.KeepWaiting:
 		r.sendAction(a.Request, a, false)
+	case edge.CutAttempt:
+		if p := r.requests[a.Request]; p != nil {
+			p.cut()
+		}
 	case edge.LeaveAttempt:
 		r.sendAction(a.Request, a, false)
 	case edge.Refuse:
@@ -163,6 +167,17 @@
 	}
 }
 
+// finishAnswers ends a graceful stop once no request of a caller is being read or answered,
+// or shortly before the end of its grace period. New connections are refused from now on.
+func (r *Relay) finishAnswers(end time.Time) {
+	ctx, cancel := context.WithDeadline(r.ctx, end.Add(-exitReserve))
+	defer cancel()
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.log.WithError(err).Warning("answers_unfinished")
+	}
+	close(r.drained)
+}
+
 // sendAction queues the next action of a request; the last one removes the
 // request.
 func (r *Relay) sendAction(request uint64, a effect.Action, last bool) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -48,6 +49,10 @@
 	// sweepInterval is the time between two sweeps for idle connections.
 	sweepInterval = time.Second
 
+	// exitReserve is the part of the grace period of a stop that is left for the end of the
+	// process itself.
+	exitReserve = 100 * time.Millisecond
+
 	// headerTimeout limits the time to receive the header of a request, idleTimeout
 	// the time between two requests on a connection. The time to receive the body is
 	// limited by CallerLimits.HeaderTime of the operator's configuration.
@@ -81,6 +86,9 @@
 	lastRequest atomic.Uint64
 	bodyBytes   atomic.Int64
 
+	// callers is the server for callers.
+	callers *http.Server
+
 	inbox      chan job
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -253,9 +261,13 @@
 		if !s.addr.IsValid() {
 			continue
 		}
-		if err := r.listen(s.addr, s.handler); err != nil {
+		server, err := r.listen(s.addr, s.handler)
+		if err != nil {
 			return err
 		}
+		if s.addr == r.settings.Callers {
+			r.callers = server
+		}
 	}
 	return nil
 }
@@ -264,10 +276,10 @@
 type connKey struct{}
 
 // listen starts an HTTP server at an address.
-func (r *Relay) listen(addr netip.AddrPort, h http.Handler) error {
+func (r *Relay) listen(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	server := &http.Server{
 		Handler:           h,
@@ -280,11 +292,11 @@
 	}
 	r.closers = append(r.closers, func() { _ = server.Close() })
 	r.spawn(func() {
-		if err := server.Serve(l); err != nil && r.ctx.Err() == nil {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && r.ctx.Err() == nil {
 			r.log.WithError(err).WithField("address", addr.String()).Error("listener_ended")
 		}
 	})
-	return nil
+	return server, nil
 }
 
 // callerAddresses returns the addresses for callers and how long a caller may
--- a/relay/request.go
+++ b/relay/request.go
@@ -69,6 +69,10 @@
 	callerLeft bool
 	callerGone bool
 
+	// attempts is the context of all attempts, which cut ends.
+	attempts context.Context
+	cut      context.CancelFunc
+
 	// actions are the pending actions from the control goroutine.
 	actions chan effect.Action
 
@@ -106,6 +110,8 @@
 		arrived: time.Now(),
 		actions: make(chan effect.Action, actionQueueSize),
 	}
+	p.attempts, p.cut = context.WithCancel(req.Context())
+	defer p.cut()
 	if problem := p.readRequest(s.limits); problem != nil {
 		r.log.WithField("request", p.call.ID).WithField("code", problem.Code).
 			WithField("status", problem.Status).WithField("cause", problem.Message).Info("refused")
@@ -240,7 +246,7 @@
 
 // runAttempt runs one attempt and posts its result to the control goroutine.
 func (p *proxyRequest) runAttempt(d edge.Dispatch) {
-	ctx, cancel := context.WithDeadline(p.r.Context(), d.Deadline)
+	ctx, cancel := context.WithDeadline(p.attempts, d.Deadline)
 	defer cancel()
 	p.bufferedAnswer = nil
 	var times attemptTimes
@@ -250,7 +256,7 @@
 		p.reportCallerLeft()
 		return
 	}
-	if outcome.Result != edge.Complete && outcome.Result != edge.Failed && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if outcome.Result != edge.Complete && outcome.Result != edge.Failed && ctx.Err() != nil {
 		outcome.Result = edge.DeadlineExceeded
 	}
 	outcome.Request = d.Request
