--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -260,6 +260,12 @@
 		streams = append(streams, s)
 		if s.try(f.relays[0], 0).whole {
 			whole++
+			continue
+		}
+		for line := range strings.Lines(f.relays[0].log.String()) {
+			if strings.Contains(line, s.last) {
+				t.Log(line)
+			}
 		}
 	}
 	if n := mixed(streams); n > 0 || whole < len(streams) {
