--- a/relay/control.go
+++ b/relay/control.go
@@ -168,9 +168,10 @@
 }
 
 // finishAnswers ends a graceful stop once no request of a caller is being read or answered,
-// or shortly before the end of its grace period. New connections are refused from now on.
+// or after lastAnswersTimeout, but before the end of its grace period. New connections are
+// refused from now on.
 func (r *Relay) finishAnswers(end time.Time) {
-	ctx, cancel := context.WithDeadline(r.ctx, end.Add(-exitReserve))
+	ctx, cancel := context.WithTimeout(r.ctx, min(time.Until(end)-exitReserve, lastAnswersTimeout))
 	defer cancel()
 	if err := r.callers.Shutdown(ctx); err != nil {
 		r.log.WithError(err).Warning("answers_unfinished")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -53,6 +53,10 @@
 	// process itself.
 	exitReserve = 100 * time.Millisecond
 
+	// lastAnswersTimeout limits the wait for the last answers of a stop that is complete
+	// before its grace period ends. A new connection without a request counts as well.
+	lastAnswersTimeout = time.Second
+
 	// headerTimeout limits the time to receive the header of a request, idleTimeout
 	// the time between two requests on a connection. The time to receive the body is
 	// limited by CallerLimits.HeaderTime of the operator's configuration.
