--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -203,7 +203,13 @@
 }
 
 func (f *fleet) callAs(n *testRelay, id, key, target, body string, prompt, output int) answer {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	return f.callWithin(0, n, id, key, target, body, prompt, output)
+}
+
+// callWithin is callAs for a caller that names a time within which it wants its answer; zero
+// for the usual time.
+func (f *fleet) callWithin(timeout time.Duration, n *testRelay, id, key, target, body string, prompt, output int) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), max(10*time.Second, timeout))
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.settings.Callers.String()+target, strings.NewReader(body))
 	if err != nil {
@@ -211,6 +217,9 @@
 	}
 	req.Host = "a.example"
 	standin.SetHeaders(req.Header, id, key, prompt, output)
+	if timeout > 0 {
+		standin.SetTimeout(req.Header, timeout)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return answer{
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -29,7 +27,7 @@
 	statuses := map[int]int{}
 	send := func(id, route string) {
 		defer wg.Done()
-		a := f.callPatiently(n, id, route)
+		a := f.callWithin(20*time.Second, n, id, "key", "/"+route+"/", "", 1000, 50)
 		mu.Lock()
 		defer mu.Unlock()
 		statuses[a.status]++
@@ -73,32 +71,3 @@
 		t.Errorf("by status: %v, want outcomes and refusals", statuses)
 	}
 }
-
-// callPatiently is callAs for a caller who names a time that exceeds all others.
-func (f *fleet) callPatiently(n *testRelay, id, route string) answer {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.settings.Callers.String()+"/"+route+"/", http.NoBody)
-	if err != nil {
-		return answer{
-			err: err,
-		}
-	}
-	req.Host = "a.example"
-	standin.SetHeaders(req.Header, id, "key", 1000, 50)
-	standin.SetTimeout(req.Header, 20*time.Second)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return answer{
-			err: err,
-		}
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	return answer{
-		status: resp.StatusCode,
-		body:   string(text),
-		header: resp.Header,
-		err:    err,
-	}
-}
