--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -17,6 +17,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"hash/maphash"
@@ -160,8 +161,9 @@
 
 // Pool keeps connections to endpoints. Create it with New.
 type Pool struct {
-	dialer *net.Dialer
-	seed   maphash.Seed
+	// connect makes a connection; its context ends when the time for it is over.
+	connect tcp.Dial
+	seed    maphash.Seed
 
 	// onDial is called after each dial; err is nil if it succeeded.
 	onDial func(to netip.AddrPort, took time.Duration, err error)
@@ -178,11 +180,13 @@
 
 // New returns a Pool and a function that closes its idle connections.
 func New(opts ...Option) (*Pool, func()) {
+	dialer := tcp.Dialer()
+	dialer.Timeout = 0
 	p := &Pool{
-		dialer: tcp.Dialer(),
-		seed:   maphash.MakeSeed(),
-		onDial: func(netip.AddrPort, time.Duration, error) {},
-		idle:   map[netip.AddrPort][]*conn{},
+		connect: dialer.DialContext,
+		seed:    maphash.MakeSeed(),
+		onDial:  func(netip.AddrPort, time.Duration, error) {},
+		idle:    map[netip.AddrPort][]*conn{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -201,6 +205,14 @@
 	}
 }
 
+// WithDial replaces the function that makes connections. They must implement syscall.Conn
+// to be reused.
+func WithDial(dial tcp.Dial) Option {
+	return func(p *Pool) {
+		p.connect = dial
+	}
+}
+
 // conn is one connection.
 type conn struct {
 	net.Conn
@@ -288,12 +300,10 @@
 
 // dial makes a connection; a timeout of zero selects the default.
 func (p *Pool) dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (*conn, error) {
-	dialer := *p.dialer
-	if timeout > 0 {
-		dialer.Timeout = timeout
-	}
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(timeout, tcp.DialTimeout))
+	defer cancel()
 	began := time.Now()
-	nc, err := dialer.DialContext(ctx, "tcp", to.String())
+	nc, err := p.connect(ctx, "tcp", to.String())
 	p.onDial(to, time.Since(began), err)
 	if err != nil {
 		return nil, trace.Wrap(ErrUnreachable, "%v", err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -35,6 +35,7 @@
 	"waxwingwall/io/logline"
 	"waxwingwall/io/origin"
 	"waxwingwall/io/peer"
+	"waxwingwall/io/tcp"
 	"waxwingwall/platform"
 	"waxwingwall/settings"
 )
@@ -73,8 +74,11 @@
 	store    *platform.Client
 	origins  *origin.Pool
 	links    *peer.Links
-	codec    waxwingwall.HeaderCodec
-	link     link
+
+	// dial makes connections to endpoints; nil selects the default.
+	dial  tcp.Dial
+	codec waxwingwall.HeaderCodec
+	link  link
 
 	// edge, sampler, self and requests are owned by the control goroutine.
 	edge     *edge.Edge
@@ -137,6 +141,14 @@
 	}
 }
 
+// WithEndpointDial replaces the function that makes connections to endpoints, as
+// origin.WithDial does.
+func WithEndpointDial(dial tcp.Dial) Option {
+	return func(r *Relay) {
+		r.dial = dial
+	}
+}
+
 // New starts a router process and returns it with a function that stops it
 // immediately.
 func New(s settings.Edge, opts ...Option) (*Relay, func(), error) {
@@ -182,7 +194,7 @@
 		platform.WithEraObserver(r.reportEra),
 	)
 	r.closers = append(r.closers, cleanup)
-	r.origins, cleanup = origin.New(origin.WithDialObserver(r.reportDial))
+	r.origins, cleanup = origin.New(r.originOptions()...)
 	r.closers = append(r.closers, cleanup)
 	peer.Register(edge.Messages()...)
 	peer.Register(escrow.Messages()...)
@@ -217,6 +229,15 @@
 	return nil
 }
 
+// originOptions returns the options of the pool of connections to endpoints.
+func (r *Relay) originOptions() []origin.Option {
+	opts := []origin.Option{origin.WithDialObserver(r.reportDial)}
+	if r.dial != nil {
+		opts = append(opts, origin.WithDial(r.dial))
+	}
+	return opts
+}
+
 // bounds returns the bounds of the settings.
 func bounds(s settings.Edge) edge.Bounds {
 	return edge.Bounds{
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -41,6 +41,9 @@
 	// linkMbps is the link speed of the relays that are started next; zero if it
 	// is unknown.
 	linkMbps int
+
+	// options returns further options of a relay; nil if there are none.
+	options func(vm string) []Option
 }
 
 // testRelay is one relay with its settings and its log.
@@ -125,7 +128,11 @@
 	buffer := &lockedBuffer{}
 	log.SetOutput(buffer)
 	log.SetFormatter(&logrus.JSONFormatter{})
-	r, stop, err := New(s, WithLog(logrus.NewEntry(log)))
+	opts := []Option{WithLog(logrus.NewEntry(log))}
+	if f.options != nil {
+		opts = append(opts, f.options(vm)...)
+	}
+	r, stop, err := New(s, opts...)
 	if err != nil {
 		f.t.Fatal(err)
 	}
