io/tunnel: connections to endpoints through a peer

A router that is cut off from endpoints answers with 503 and 504 what its peers could still serve. The new package gives it a way: the peer connects to the endpoint on an HTTP CONNECT and copies bytes. It reads and decides nothing, so the run, the bill, the deadline and the cancellation of a request stay with the router that took it. Nothing uses the package yet.

Ends pass through as they are. Three places where a plain copy would not: a write to the endpoint can consume the error of a reset, after which a read sees a plain end; a reset discards bytes that were not yet acknowledged; an upload that the endpoint does not take hides that the router has gone.

--- /dev/null
+++ b/io/tunnel/tunnel.go
@@ -0,0 +1,261 @@
+package tunnel
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"waxwingwall/io/tcp"
+)
+
+const (
+	// bufferBytes is the size of the buffer of each direction.
+	bufferBytes = 16 << 10
+
+	// idleTimeout is how long a tunnel may copy nothing; it exceeds the time limits of
+	// requests.
+	idleTimeout = 2 * time.Minute
+
+	// lingerTimeout is how long a tunnel waits for the router to close its side after the
+	// endpoint has closed its own.
+	lingerTimeout = 5 * time.Second
+
+	// writeInterval is the time between two checks, while the endpoint takes no bytes,
+	// whether the router still waits.
+	writeInterval = 50 * time.Millisecond
+
+	// drainTimeout limits the wait, before a reset, for bytes that the router has not yet
+	// acknowledged; drainInterval is the time between two checks.
+	drainTimeout  = time.Second
+	drainInterval = time.Millisecond
+)
+
+// errHungUp means that the router closed its side while bytes for the endpoint waited.
+var errHungUp = errors.New("tunnel closed by the router")
+
+// tunnel copies between two connections.
+type tunnel struct {
+	// near is the connection of the router, far that of the endpoint.
+	near, far *net.TCPConn
+	onCopied  func(bytes int)
+
+	// idle ends the tunnel when it expires.
+	idle *time.Timer
+
+	// ended is set once the endpoint has closed its side in order.
+	ended atomic.Bool
+
+	// writing is held during each write to far. failed is set once one of them reported a
+	// failure of the connection: the kernel reports it only once, and a later read would
+	// see a plain end.
+	writing sync.Mutex
+	failed  bool
+}
+
+// newTunnel returns a tunnel and a function that stops its timer.
+func newTunnel(near, far *net.TCPConn, onCopied func(bytes int)) (*tunnel, func()) {
+	t := &tunnel{
+		near:     near,
+		far:      far,
+		onCopied: onCopied,
+	}
+	t.idle = time.AfterFunc(idleTimeout, t.expire)
+	return t, func() { t.idle.Stop() }
+}
+
+// run answers the request and copies in both directions until the tunnel has ended. The
+// bytes early arrived together with the request.
+func (t *tunnel) run(early []byte) {
+	// A router that has vanished would otherwise hold the tunnel and the endpoint.
+	_ = t.near.SetKeepAliveConfig(tcp.Dialer().KeepAliveConfig)
+	if _, err := io.WriteString(t.near, establishedHead); err != nil {
+		return
+	}
+	var down sync.WaitGroup
+	down.Go(t.copyDown)
+	t.copyUp(early)
+	down.Wait()
+}
+
+// copyUp copies from the router to the endpoint and closes both when the router closes
+// its side. After a failed write it discards what arrives: unread bytes would turn the
+// end of the router's connection into a reset.
+func (t *tunnel) copyUp(early []byte) {
+	part, buffer := early, make([]byte, bufferBytes)
+	writable := true
+	for {
+		if writable {
+			err := t.writeFar(part)
+			if errors.Is(err, errHungUp) {
+				t.reset()
+				return
+			}
+			writable = err == nil
+		}
+		n, err := t.near.Read(buffer)
+		part = buffer[:n]
+		if n > 0 {
+			continue
+		}
+		if errors.Is(err, io.EOF) {
+			t.close()
+			return
+		}
+		t.reset()
+		return
+	}
+}
+
+// writeFar writes to the endpoint until the router closes its side.
+func (t *tunnel) writeFar(b []byte) error {
+	for len(b) > 0 {
+		n, err := t.writePart(b)
+		b = b[n:]
+		t.copied(n)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if err != nil && hungUp(t.near) {
+			return errHungUp
+		}
+	}
+	return nil
+}
+
+// writePart writes to the endpoint for a bounded time.
+func (t *tunnel) writePart(b []byte) (int, error) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	if err := t.far.SetWriteDeadline(time.Now().Add(writeInterval)); err != nil {
+		return 0, err
+	}
+	n, err := t.far.Write(b)
+	// EPIPE follows an end or a failure that a read reports.
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
+		t.failed = true
+	}
+	return n, err
+}
+
+// copyDown copies from the endpoint to the router, and then passes the end on.
+func (t *tunnel) copyDown() {
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := t.far.Read(buffer)
+		if n > 0 {
+			if _, err := t.near.Write(buffer[:n]); err != nil {
+				t.reset()
+				return
+			}
+			t.copied(n)
+		}
+		if err != nil {
+			t.endDown(err)
+			return
+		}
+	}
+}
+
+// endDown passes the end of the endpoint's connection on to the router.
+func (t *tunnel) endDown(err error) {
+	if !errors.Is(err, io.EOF) || t.hasFailed() {
+		t.drain()
+		t.reset()
+		return
+	}
+	t.idle.Reset(lingerTimeout)
+	t.ended.Store(true)
+	if err := t.near.CloseWrite(); err != nil {
+		t.reset()
+	}
+}
+
+// hasFailed reports whether a write found the endpoint's connection to have failed.
+func (t *tunnel) hasFailed() bool {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	return t.failed
+}
+
+// drain waits until the router has acknowledged all bytes, which a reset would discard.
+func (t *tunnel) drain() {
+	for began := time.Now(); unacknowledged(t.near) > 0 && time.Since(began) < drainTimeout; {
+		time.Sleep(drainInterval)
+	}
+}
+
+// copied counts bytes that were copied.
+func (t *tunnel) copied(n int) {
+	if n > 0 {
+		t.idle.Reset(idleTimeout)
+		t.onCopied(n)
+	}
+}
+
+// expire ends a tunnel that copies nothing any more.
+func (t *tunnel) expire() {
+	if t.ended.Load() {
+		t.close()
+		return
+	}
+	t.reset()
+}
+
+// close closes both connections. Bytes that were written still arrive.
+func (t *tunnel) close() {
+	_ = t.far.Close()
+	_ = t.near.Close()
+}
+
+// reset resets both connections.
+func (t *tunnel) reset() {
+	for _, c := range []*net.TCPConn{t.far, t.near} {
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// hungUp reports whether the other side of a connection has closed it, even if there are
+// bytes left to read.
+func hungUp(c *net.TCPConn) bool {
+	hungUp := false
+	err := control(c, func(fd int) {
+		fds := []unix.PollFd{{
+			Fd:     int32(fd),
+			Events: unix.POLLRDHUP,
+		}}
+		_, err := unix.Poll(fds, 0)
+		hungUp = err == nil && fds[0].Revents != 0
+	})
+	return hungUp || err != nil
+}
+
+// unacknowledged returns the number of bytes that the other side has not acknowledged;
+// zero if the connection is closed.
+func unacknowledged(c *net.TCPConn) int {
+	bytes := 0
+	if err := control(c, func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
+			bytes = n
+		}
+	}); err != nil {
+		return 0
+	}
+	return bytes
+}
+
+// control calls f with the descriptor of a connection.
+func control(c *net.TCPConn, f func(fd int)) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) { f(int(fd)) })
+}
