io/origin: requests through a peer

Request.Via names a peer whose tunnel server connects to the endpoint. The pool keeps idle connections by address and peer, so that a direct request never uses a tunnel nor the other way round, and keeps idle tunnels for 2 s at most, since they take room at the peer. CloseVia closes those through a peer. Tunnels are not reported to the dial observer: how long they take says nothing about the way to the endpoint.

A failed tunnel is ErrUnreachable, as nothing was sent; it is ErrVia as well if the peer is the reason, so that a caller can choose another peer. Nothing sets Via yet.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -20,6 +20,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"hash/maphash"
 	"io"
 	"net"
@@ -38,6 +39,7 @@
 	"golang.org/x/sys/unix"
 
 	"waxwingwall/io/tcp"
+	"waxwingwall/io/tunnel"
 )
 
 const (
@@ -53,7 +55,12 @@
 	// endpoint has not yet specified its own limit.
 	preconnectTTL = 500 * time.Millisecond
 
-	// maxIdlePerAddress limits the idle connections to one address.
+	// tunnelKeepAlive limits how long an idle connection through a peer is kept, which
+	// takes room there.
+	tunnelKeepAlive = 2 * time.Second
+
+	// maxIdlePerAddress limits the idle connections to one address in one way, directly or
+	// through one peer.
 	maxIdlePerAddress = 32
 
 	// maxInlineBytes is the largest body that is written before the answer is
@@ -82,6 +89,9 @@
 	// ErrUnreachable means that nothing was sent.
 	ErrUnreachable = errors.New("endpoint unreachable")
 
+	// ErrVia is an ErrUnreachable for which the peer of Request.Via is the reason.
+	ErrVia = fmt.Errorf("no way through the peer: %w", ErrUnreachable)
+
 	// ErrExpired means that Request.SendBy passed, or Request.Withhold applied, before
 	// anything was sent.
 	ErrExpired = errors.New("endpoint connected too late")
@@ -95,6 +105,10 @@
 	// Address is the address of the endpoint.
 	Address netip.AddrPort
 
+	// Via is the address of a peer's tunnel server through which the endpoint is reached;
+	// zero if it is reached directly.
+	Via netip.AddrPort
+
 	// Method, Target and Host are the caller's; Target is the unmodified path with
 	// its query.
 	Method, Target, Host string
@@ -161,17 +175,17 @@
 
 // Pool keeps connections to endpoints. Create it with New.
 type Pool struct {
-	// connect makes a connection; its context ends when the time for it is over.
+	// connect makes a direct connection; its context ends when the time for it is over.
 	connect tcp.Dial
 	seed    maphash.Seed
 
-	// onDial is called after each dial; err is nil if it succeeded.
+	// onDial is called after each direct dial; err is nil if it succeeded.
 	onDial func(to netip.AddrPort, took time.Duration, err error)
 
-	// mu guards the fields below. idle holds the idle connections by address, the
-	// most recently used last.
+	// mu guards the fields below. idle holds the idle connections by the way to their
+	// address, the most recently used last.
 	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*conn
+	idle   map[way][]*conn
 	closed bool
 
 	// dials counts the successful dials.
@@ -186,7 +200,7 @@
 		connect: dialer.DialContext,
 		seed:    maphash.MakeSeed(),
 		onDial:  func(netip.AddrPort, time.Duration, error) {},
-		idle:    map[netip.AddrPort][]*conn{},
+		idle:    map[way][]*conn{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -197,15 +211,15 @@
 // Option configures a Pool.
 type Option func(*Pool)
 
-// WithDialObserver sets a function that receives the duration of each dial and its
-// error, if it failed.
+// WithDialObserver sets a function that receives the duration of each direct dial and
+// its error, if it failed.
 func WithDialObserver(onDial func(to netip.AddrPort, took time.Duration, err error)) Option {
 	return func(p *Pool) {
 		p.onDial = onDial
 	}
 }
 
-// WithDial replaces the function that makes connections. They must implement syscall.Conn
+// WithDial replaces the function that makes direct connections. They must implement syscall.Conn
 // to be reused.
 func WithDial(dial tcp.Dial) Option {
 	return func(p *Pool) {
@@ -213,12 +227,18 @@
 	}
 }
 
+// way is an address and the peer through which it is reached; via is zero if it is
+// reached directly.
+type way struct {
+	addr, via netip.AddrPort
+}
+
 // conn is one connection.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
 	source source
-	addr   netip.AddrPort
+	way    way
 
 	// expires is the time after which it must not be reused; zero if it is new.
 	expires time.Time
@@ -285,8 +305,12 @@
 
 // acquire returns an idle connection, or makes a new one.
 func (p *Pool) acquire(ctx context.Context, r Request) (*conn, error) {
+	w := way{
+		addr: r.Address,
+		via:  r.Via,
+	}
 	for {
-		c := p.popIdle(r.Address, r.ID)
+		c := p.popIdle(w, r.ID)
 		if c == nil {
 			break
 		}
@@ -295,18 +319,20 @@
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, r.Address, r.DialTimeout)
+	return p.dial(ctx, w, r.DialTimeout)
 }
 
 // dial makes a connection; a timeout of zero selects the default.
-func (p *Pool) dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, cmp.Or(timeout, tcp.DialTimeout))
-	defer cancel()
-	began := time.Now()
-	nc, err := p.connect(ctx, "tcp", to.String())
-	p.onDial(to, time.Since(began), err)
+func (p *Pool) dial(ctx context.Context, w way, timeout time.Duration) (*conn, error) {
+	var nc net.Conn
+	var err error
+	if w.via.IsValid() {
+		nc, err = dialVia(ctx, w, timeout)
+	} else {
+		nc, err = p.dialDirectly(ctx, w.addr, timeout)
+	}
 	if err != nil {
-		return nil, trace.Wrap(ErrUnreachable, "%v", err)
+		return nil, err
 	}
 	p.mu.Lock()
 	p.dials++
@@ -316,12 +342,35 @@
 		source: source{
 			Conn: nc,
 		},
-		addr: to,
+		way: w,
 	}
 	c.reader = bufio.NewReaderSize(&c.source, readBufferBytes)
 	return c, nil
 }
 
+func (p *Pool) dialDirectly(ctx context.Context, to netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(timeout, tcp.DialTimeout))
+	defer cancel()
+	began := time.Now()
+	nc, err := p.connect(ctx, "tcp", to.String())
+	p.onDial(to, time.Since(began), err)
+	if err != nil {
+		return nil, trace.Wrap(ErrUnreachable, "%v", err)
+	}
+	return nc, nil
+}
+
+func dialVia(ctx context.Context, w way, timeout time.Duration) (net.Conn, error) {
+	nc, err := tunnel.Dial(ctx, w.via, w.addr, timeout)
+	if errors.Is(err, tunnel.ErrPeer) {
+		return nil, trace.Wrap(ErrVia, "%v", err)
+	}
+	if err != nil {
+		return nil, trace.Wrap(ErrUnreachable, "%v", err)
+	}
+	return nc, nil
+}
+
 // source reads from a connection within limits of time and size.
 type source struct {
 	net.Conn
@@ -380,9 +429,11 @@
 
 var errHeadTooLong = errors.New("head of the answer too long")
 
-// Preconnect makes a connection and keeps it for a request.
+// Preconnect makes a direct connection and keeps it for a request.
 func (p *Pool) Preconnect(ctx context.Context, to netip.AddrPort, timeout time.Duration) error {
-	c, err := p.dial(ctx, to, timeout)
+	c, err := p.dial(ctx, way{
+		addr: to,
+	}, timeout)
 	if err != nil {
 		return err
 	}
@@ -391,21 +442,21 @@
 	return nil
 }
 
-// popIdle takes the most recently used idle connection to an address on which the
-// request with an ID has not failed, or returns nil.
-func (p *Pool) popIdle(addr netip.AddrPort, id string) *conn {
+// popIdle takes the most recently used idle connection of a way on which the request
+// with an ID has not failed, or returns nil.
+func (p *Pool) popIdle(w way, id string) *conn {
 	hash := p.hash(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.idle[addr]
+	conns := p.idle[w]
 	for i, c := range slices.Backward(conns) {
 		if id != "" && slices.Contains(c.failed, hash) {
 			continue
 		}
 		if len(conns) == 1 {
-			delete(p.idle, addr)
+			delete(p.idle, w)
 		} else {
-			p.idle[addr] = slices.Delete(conns, i, i+1)
+			p.idle[w] = slices.Delete(conns, i, i+1)
 		}
 		return c
 	}
@@ -448,7 +499,7 @@
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for addr, conns := range p.idle {
+	for w, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
 			if now.After(c.expires) {
@@ -458,21 +509,36 @@
 			kept = append(kept, c)
 		}
 		if len(kept) == 0 {
-			delete(p.idle, addr)
+			delete(p.idle, w)
 			continue
 		}
-		p.idle[addr] = kept
+		p.idle[w] = kept
 	}
 }
 
-// CloseIdle closes the idle connections to an address.
+// CloseIdle closes the idle connections to an address, direct ones and others.
 func (p *Pool) CloseIdle(addr netip.AddrPort) {
+	p.closeIdle(func(w way) bool { return w.addr == addr })
+}
+
+// CloseVia closes the idle connections through a peer.
+func (p *Pool) CloseVia(via netip.AddrPort) {
+	p.closeIdle(func(w way) bool { return w.via.IsValid() && w.via == via })
+}
+
+// closeIdle closes the idle connections of some ways.
+func (p *Pool) closeIdle(matches func(way) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[addr] {
-		_ = c.Close()
+	for w, conns := range p.idle {
+		if !matches(w) {
+			continue
+		}
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		delete(p.idle, w)
 	}
-	delete(p.idle, addr)
 }
 
 // Dials returns the number of successful dials.
@@ -491,18 +557,18 @@
 			_ = c.Close()
 		}
 	}
-	p.idle = map[netip.AddrPort][]*conn{}
+	p.idle = map[way][]*conn{}
 }
 
 // putIdle adds an idle connection to the pool.
 func (p *Pool) putIdle(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.addr]) >= maxIdlePerAddress {
+	if p.closed || len(p.idle[c.way]) >= maxIdlePerAddress {
 		_ = c.Close()
 		return
 	}
-	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.idle[c.way] = append(p.idle[c.way], c)
 }
 
 // exchange writes the request and reads the header of its answer.
@@ -645,7 +711,11 @@
 		a.closeConn()
 		return
 	}
-	a.conn.expires = time.Now().Add(keepAliveTimeout(a.Header))
+	keepAlive := keepAliveTimeout(a.Header)
+	if a.conn.way.via.IsValid() {
+		keepAlive = min(keepAlive, tunnelKeepAlive)
+	}
+	a.conn.expires = time.Now().Add(keepAlive)
 	a.pool.putIdle(a.conn)
 }
 
