core/edge, relay: requests reach endpoints through a peer while the router is cut off

Cause: a router asked endpoints itself and had no second path; its own cut was no state that it or its peers knew, so that it stayed listed, went through the endpoints one by one and took connections that hang for a full link (link_full).

A router now notices that connections to several endpoints of a service fail and none is made, tests others to be sure, and then sends its requests through a tunnel that a peer makes. The peer copies bytes; the request, its bill, its deadline, permits, versions, retries and cancellation stay where they were, so there is still one run and one bill. Reports tell peers of the cut: they are not asked for tunnels, and routers that are cut off are not listed while at least half of the fleet is not. If peers don't reach the endpoints either, all is as before. Failed connections of a router that is cut off don't count as a queue on its link.

--- a/core/edge/address.go
+++ b/core/edge/address.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -24,6 +25,9 @@
 	// link is the speed of the router's link in Mbit/s, zero if unknown, which
 	// counts as slow; running counts the router's requests in flight.
 	link, running int
+
+	// cut is set if the router reaches a service only through peers.
+	cut bool
 }
 
 // Addresses returns the addresses to which callers may connect: those of the
@@ -50,7 +54,7 @@
 
 // selectAddresses returns the addresses of the routers that callers should use.
 func (e *Edge) selectAddresses(now time.Time) []netip.AddrPort {
-	all := e.candidates(now)
+	all := withoutCut(e.candidates(now))
 	fastest := 0
 	for _, c := range all {
 		fastest = max(fastest, c.link)
@@ -70,6 +74,16 @@
 	return addresses
 }
 
+// withoutCut returns the candidates that reach all services themselves, or all candidates if
+// fewer than half do: the rest could not take the load of all, and tunnels cost them less.
+func withoutCut(all []candidate) []candidate {
+	kept := slices.DeleteFunc(slices.Clone(all), func(c candidate) bool { return c.cut })
+	if 2*len(kept) < len(all) {
+		return all
+	}
+	return kept
+}
+
 // filterCandidates returns the accepted candidates, or all if too few are
 // accepted.
 func filterCandidates(all []candidate, accept func(candidate) bool) []candidate {
@@ -93,6 +107,7 @@
 			address: e.info.Callers,
 			link:    e.info.LinkMbps,
 			running: len(e.requests),
+			cut:     anyConfirmed(e.cuts()),
 		})
 	}
 	for _, p := range e.view.Peers(now) {
@@ -101,12 +116,9 @@
 		}
 		c := candidate{
 			address: p.Callers,
-		}
-		if n := e.nodes.rows[p.Incarnation]; n != nil {
-			c.link = n.row.LinkMbps
-		}
-		for _, l := range e.gossip.reports[p.Incarnation].Loads {
-			c.running += l.Running
+			link:    e.peerLink(p.Incarnation),
+			running: e.peerRunning(p.Incarnation),
+			cut:     anyConfirmed(e.gossip.reports[p.Incarnation].Cuts),
 		}
 		all = append(all, c)
 	}
--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -30,6 +30,9 @@
 	// are available.
 	Backoff time.Duration `json:"avoid"`
 
+	// Tunneled is set while requests reach the endpoint through peers.
+	Tunneled bool `json:"tunneled"`
+
 	// Announced is set if the endpoint said in an answer that it leaves.
 	Announced bool `json:"announced"`
 
@@ -104,6 +107,7 @@
 				FailureRate:  row.failureRate,
 				Slowdown:     row.slowdown,
 				Backoff:      max(row.backoffUntil.Sub(now), 0),
+				Tunneled:     row.tunneled,
 				Announced:    row.announced,
 				Paused:       e.pauses.left(now, row.replica),
 				Missing:      !row.missingSince.IsZero(),
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -62,6 +62,10 @@
 	// Callers is the listen address for callers.
 	Callers netip.AddrPort
 
+	// Tunnels is the listen address for peers that are cut off from endpoints; invalid if
+	// there is none.
+	Tunnels netip.AddrPort
+
 	// Domain is the router's failure domain.
 	Domain waxwingwall.Domain
 
@@ -131,6 +135,7 @@
 	gossip       gossipState
 	listed       listing
 	link         link
+	reach        reach
 	departures   departures
 	versions     versions
 
@@ -193,6 +198,7 @@
 	e.endpoints.init()
 	e.nodes.init()
 	e.versions.init()
+	e.reach.init()
 	e.limits = limit.New(self, e.lookupEndpoint, limit.WithSeed(e.seed))
 	e.initIncarnation(self)
 	return e
@@ -295,6 +301,7 @@
 	e.sendReports()
 	e.endpoints.expireParts(e.now)
 	e.probeLink()
+	e.reachStep()
 	e.countCrashes()
 	e.crashes.expire(e.now)
 	e.notices.Expire(e.now)
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -64,6 +65,13 @@
 	failures     int
 	backoffUntil time.Time
 
+	// dialedAt is when this router last had a new connection without a tunnel, dialFailedAt
+	// when one last failed; dialFailedAt is zero if none has failed since.
+	dialedAt, dialFailedAt time.Time
+
+	// tunneled is set while requests reach the endpoint through peers.
+	tunneled bool
+
 	// heardAt is when an answer of the endpoint last began or ended; zero if none has.
 	heardAt time.Time
 
@@ -107,6 +115,9 @@
 	rows      map[waxwingwall.Endpoint]*endpoint
 	byService map[waxwingwall.Model][]*endpoint
 
+	// paths is the result of Paths; nil if it is out of date.
+	paths map[netip.AddrPort]bool
+
 	// revision is the store's revision of rows; complete is set once rows have
 	// been replaced by a full snapshot.
 	revision int64
@@ -214,6 +225,7 @@
 			parts:     map[uint64]time.Time{},
 		}
 		t.add(row)
+		row.tunneled = e.reach.service(r.Service).cut
 		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.endpointListed(r.Endpoint, r.Service, 0, buildOf(r))
@@ -247,6 +259,7 @@
 	}
 	before := old.build
 	old.replica = r
+	t.paths = nil
 	old.build = buildOf(r)
 	e.applyNotices(old)
 	e.endpointListed(r.Endpoint, r.Service, before, old.build)
@@ -301,6 +314,7 @@
 
 // add adds an endpoint to the table.
 func (t *endpoints) add(row *endpoint) {
+	t.paths = nil
 	t.rows[row.replica.Endpoint] = row
 	rows := t.byService[row.replica.Service]
 	at, _ := slices.BinarySearchFunc(rows, row.replica.Endpoint, func(r *endpoint, id waxwingwall.Endpoint) int {
@@ -311,6 +325,7 @@
 
 // remove removes an endpoint from its service.
 func (t *endpoints) remove(row *endpoint) {
+	t.paths = nil
 	rows := t.byService[row.replica.Service]
 	t.byService[row.replica.Service] = slices.DeleteFunc(rows, func(r *endpoint) bool { return r == row })
 }
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -131,6 +131,10 @@
 	// sent to it; zero if it was not.
 	Idle time.Duration
 
+	// PeerFailed is set if the result is Unreachable because the peer of Dispatch.Via could
+	// not be reached or makes no tunnel.
+	PeerFailed bool
+
 	// Err is the cause of a failure, for the log.
 	Err string
 }
@@ -225,6 +229,10 @@
 	// Params are the values added to the forwarded request.
 	Params waxwingwall.ForwardParams
 
+	// Via is the address at which a peer makes a tunnel to the endpoint; invalid if the
+	// request is sent directly.
+	Via netip.AddrPort
+
 	// Deadline is the deadline of the request.
 	Deadline time.Time
 
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -89,6 +89,9 @@
 	// Troubles are the endpoints that fail or are slow by the sender's own requests.
 	Troubles []EndpointTrouble
 
+	// Cuts are the services whose endpoints the sender does not reach itself.
+	Cuts []Cut
+
 	// Departures are leaving endpoints.
 	Departures []Departure
 
@@ -109,7 +112,7 @@
 
 // Size returns the approximate size of the report in bytes.
 func (m Report) Size() int {
-	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Departures)+len(m.Reads)+len(m.Suspects))
+	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects))
 }
 
 // PartRead is a prompt part that an endpoint has read.
@@ -285,6 +288,7 @@
 		Version:        e.config.version,
 		Revision:       e.endpoints.revision,
 		EndpointsStale: e.endpointsStale(),
+		Cuts:           e.cuts(),
 		Departures:     append(e.announcements.list(e.now), e.departures.list(e.now)...),
 		Reads:          e.gossip.pendingReads,
 		Suspects:       e.crashes.parts.List(e.now),
--- a/core/edge/limit_test.go
+++ b/core/edge/limit_test.go
@@ -284,10 +284,15 @@
 	return waxwingwall.Row{
 		Key:     NodeKey(m.incarnation(i)),
 		Version: m.version,
-		Value:   fmt.Sprintf(`{"peers":"10.9.%d.%d:1","callers":"10.9.%d.%d:2","domain":"d%d","link":%d}`, i/200, i%200+1, i/200, i%200+1, i%3, m.link(i)),
+		Value:   fmt.Sprintf(`{"peers":"10.9.%d.%d:1","callers":"10.9.%d.%d:2","tunnels":"%v","domain":"d%d","link":%d}`, i/200, i%200+1, i/200, i%200+1, tunnelsOf(i), i%3, m.link(i)),
 	}
 }
 
+// tunnelsOf returns the address at which a router makes tunnels.
+func tunnelsOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i / 200), byte(i%200 + 1)}), 3)
+}
+
 // boot starts a router.
 func (m *limitModel) boot(i int) {
 	r := m.routers[i]
@@ -297,6 +302,7 @@
 		RouterInfo{
 			Peers:   netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:1", i/200, i%200+1)),
 			Callers: netip.MustParseAddrPort(fmt.Sprintf("10.9.%d.%d:2", i/200, i%200+1)),
+			Tunnels: tunnelsOf(i),
 			Domain:  waxwingwall.Domain(fmt.Sprintf("d%d", i%3)),
 
 			LinkMbps: m.link(i),
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -54,6 +54,9 @@
 	// Took is the time until the connection was open or the attempt ended.
 	Took time.Duration
 
+	// Failed is set if there is no connection.
+	Failed bool
+
 	// Refused is set if the VM refused the connection: nothing listens there.
 	Refused bool
 }
@@ -116,7 +119,10 @@
 
 // handleDialed records a new connection and logs a change of the link's state.
 func (e *Edge) handleDialed(ev Dialed) {
-	e.link.addDial(e.now, ev)
+	if e.countsForLink(ev) {
+		e.link.addDial(e.now, ev)
+	}
+	e.recordDial(ev)
 	delay := e.link.queueDelay(e.now)
 	e.link.clear.add(e.now, ev.Took)
 	if ev.Refused {
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -71,6 +71,9 @@
 	Peers   netip.AddrPort `json:"peers"`
 	Callers netip.AddrPort `json:"callers"`
 
+	// Tunnels is the listen address for tunnels to endpoints; invalid if there is none.
+	Tunnels netip.AddrPort `json:"tunnels,omitzero"`
+
 	// Domain is the router's failure domain.
 	Domain waxwingwall.Domain `json:"domain"`
 
@@ -298,6 +301,8 @@
 		return content, errors.New("a name is too long")
 	case !reachable(content.Peers) || !reachable(content.Callers):
 		return content, fmt.Errorf("invalid address: peers %v, callers %v", content.Peers, content.Callers)
+	case content.Tunnels != netip.AddrPort{} && !reachable(content.Tunnels):
+		return content, fmt.Errorf("invalid address for tunnels: %v", content.Tunnels)
 	case content.LinkMbps < 0 || content.LinkMbps > maxLinkMbps:
 		return content, fmt.Errorf("invalid link speed %d", content.LinkMbps)
 	case content.Era < 0 || content.PeersEra < 0:
@@ -444,6 +449,7 @@
 	text, err := json.Marshal(nodeRow{
 		Peers:    e.info.Peers,
 		Callers:  e.info.Callers,
+		Tunnels:  e.info.Tunnels,
 		Domain:   e.info.Domain,
 		LinkMbps: e.info.LinkMbps,
 		Touch:    t.touch,
@@ -535,6 +541,22 @@
 	}
 }
 
+// peerLink returns the speed of a router's link in Mbit/s; zero if it is unknown.
+func (e *Edge) peerLink(p waxwingwall.Incarnation) int {
+	if n := e.nodes.rows[p]; n != nil {
+		return n.row.LinkMbps
+	}
+	return 0
+}
+
+// tunnelAddress returns the address at which a router makes tunnels; invalid if it has none.
+func (e *Edge) tunnelAddress(p waxwingwall.Incarnation) netip.AddrPort {
+	if n := e.nodes.rows[p]; n != nil {
+		return n.row.Tunnels
+	}
+	return netip.AddrPort{}
+}
+
 // fleetSize returns the number of live routers, including this one.
 func (e *Edge) fleetSize() int {
 	n := 1
--- a/core/edge/placement.go
+++ b/core/edge/placement.go
@@ -179,6 +179,9 @@
 	if e.now.Before(row.backoffUntil) {
 		c.cost += backoffCostMs
 	}
+	if row.tunneled {
+		c.cost += tunnelCostMs
+	}
 	c.cost += failureRate * failureCostMs
 	return c
 }
--- /dev/null
+++ b/core/edge/reach.go
@@ -0,0 +1,490 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingwall"
+	"waxwingwall/core/member"
+)
+
+// A router may be cut off from endpoints that its peers reach. It then sends its requests
+// to them through a tunnel, a connection that a peer makes for it. The peer copies bytes and
+// decides nothing: run, bill, deadline and cancellation stay with the router that took the
+// request.
+//
+// Only connections show that a router is cut off. One that fails is no proof, since the
+// endpoint may be down: other endpoints of the service are tried first. That all of them fail
+// is none either, but then a tunnel does no harm: if peers don't reach the endpoint, it is
+// avoided as usual.
+
+const (
+	// cutEndpoints is the number of endpoints of a service to which connections must fail,
+	// and none succeed, until the router counts as cut off; all of them if there are fewer.
+	cutEndpoints = 3
+
+	// cutWindow is how long a failed connection counts.
+	cutWindow = 2 * time.Second
+
+	// sweepInterval is the time between two sweeps of a service: connections to further
+	// endpoints after one failed.
+	sweepInterval = time.Second
+
+	// answersTime is how long after an answer from a service a single failed connection
+	// to it is no reason for a sweep.
+	answersTime = 500 * time.Millisecond
+
+	// minSilence is the shortest silence of a service that makes the router test its
+	// connections, silenceInterval the time between two such tests.
+	minSilence      = 300 * time.Millisecond
+	silenceInterval = time.Second
+
+	// healInterval is the time between two connections that test whether the router
+	// reaches its endpoints again; healEndpoints is the number that must succeed until
+	// all endpoints of the service are used directly.
+	healInterval  = 300 * time.Millisecond
+	healEndpoints = 2
+
+	// tunnelPeers is the number of peers among which a router chooses the one that makes
+	// a tunnel. One that has reached the service is preferred for goodPeerTime; one that
+	// has not is avoided for cutPeerPause, one that makes no tunnel for lostPeerPause.
+	tunnelPeers   = 3
+	goodPeerTime  = 5 * time.Second
+	cutPeerPause  = 3 * time.Second
+	lostPeerPause = time.Second
+
+	// maxTunnelFailures is the number of tunnels in a row that must fail to reach a service
+	// until no peer is asked for outagePause: the endpoints are down. outageTrials is the
+	// number of tunnels that are tried after that.
+	maxTunnelFailures = 10
+	outageTrials      = 2
+	outagePause       = time.Second
+
+	// tunnelCostMs is the penalty for a tunnel, in milliseconds.
+	tunnelCostMs = 20.0
+)
+
+// Cut states that a router is cut off from a service.
+type Cut struct {
+	// Service is the service.
+	Service waxwingwall.Model
+
+	// Confirmed is set if the router has reached an endpoint of the service through a
+	// peer: the endpoints are not down.
+	Confirmed bool
+}
+
+// reach is what a router knows of its own paths to endpoints.
+type reach struct {
+	services map[waxwingwall.Model]*serviceReach
+
+	// peers is what is known of peers that were asked for tunnels.
+	peers map[tunnelKey]tunnelPeer
+}
+
+// tunnelKey identifies a peer and a service; the service is empty for what concerns tunnels
+// to all of them.
+type tunnelKey struct {
+	peer    waxwingwall.Incarnation
+	service waxwingwall.Model
+}
+
+// tunnelPeer is what is known of the tunnels that a peer made.
+type tunnelPeer struct {
+	// reached is set if the last tunnel reached an endpoint; it failed otherwise. It
+	// counts until the time until.
+	reached bool
+	until   time.Time
+}
+
+// serviceReach is what a router knows of its paths to the endpoints of a service.
+type serviceReach struct {
+	// cut is set while some endpoints are reached through peers, confirmed once one was.
+	cut, confirmed bool
+
+	// failures counts the tunnels in a row that reached no endpoint; until pausedUntil no
+	// further one is tried.
+	failures    int
+	pausedUntil time.Time
+
+	// answeredAt is when an answer last began or ended that came without a tunnel.
+	answeredAt time.Time
+
+	// sweptAt, testedAt and healedAt are the times of the last sweep, of the last test of
+	// a silent endpoint and of the last test whether the cut is over; tests counts the
+	// latter.
+	sweptAt, testedAt, healedAt time.Time
+	tests                       int
+}
+
+func (t *reach) init() {
+	t.services = map[waxwingwall.Model]*serviceReach{}
+	t.peers = map[tunnelKey]tunnelPeer{}
+}
+
+// service returns the row of a service.
+func (t *reach) service(name waxwingwall.Model) *serviceReach {
+	s := t.services[name]
+	if s == nil {
+		s = &serviceReach{}
+		t.services[name] = s
+	}
+	return s
+}
+
+// recordDial records a connection that was made, or failed, without a tunnel.
+func (e *Edge) recordDial(ev Dialed) {
+	for _, s := range e.config.configuration.Services {
+		for _, row := range e.endpoints.byService[s.Name] {
+			switch {
+			case row.replica.Address != ev.Address:
+			case ev.Failed:
+				row.dialFailedAt = e.now
+				e.checkCut(s.Name)
+			default:
+				row.dialedAt = e.now
+				row.dialFailedAt = time.Time{}
+				e.endTunnels(row)
+			}
+		}
+	}
+}
+
+// countsForLink reports whether a connection shows the state of the router's link: one that
+// failed because the router is cut off does not.
+func (e *Edge) countsForLink(ev Dialed) bool {
+	if !ev.Failed {
+		return true
+	}
+	for _, s := range e.config.configuration.Services {
+		for _, row := range e.endpoints.byService[s.Name] {
+			if row.replica.Address == ev.Address && row.tunneled {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// checkCut decides whether the router is cut off from a service, after a connection to it
+// failed.
+func (e *Edge) checkCut(name waxwingwall.Model) {
+	s := e.reach.service(name)
+	var failed, others []*endpoint
+	var dialedAt, firstFailure time.Time
+	for _, row := range e.endpoints.byService[name] {
+		switch {
+		case !row.usable():
+		case !row.dialFailedAt.IsZero() && e.now.Sub(row.dialFailedAt) < cutWindow:
+			failed = append(failed, row)
+			if firstFailure.IsZero() || row.dialFailedAt.Before(firstFailure) {
+				firstFailure = row.dialFailedAt
+			}
+		default:
+			others = append(others, row)
+			if row.dialedAt.After(dialedAt) {
+				dialedAt = row.dialedAt
+			}
+		}
+	}
+	if len(failed) == 0 || s.cut || !dialedAt.Before(firstFailure) {
+		return
+	}
+	if len(failed) >= min(cutEndpoints, len(failed)+len(others)) {
+		e.beginTunnels(name, s)
+		return
+	}
+	answered := e.now.Sub(s.answeredAt) < answersTime
+	if answered && len(failed) == 1 || e.now.Sub(s.sweptAt) < sweepInterval {
+		return
+	}
+	s.sweptAt = e.now
+	e.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, row := range others[:min(len(others), cutEndpoints)] {
+		e.probe(row)
+	}
+}
+
+// probe requests a connection to an endpoint without a tunnel.
+func (e *Edge) probe(row *endpoint) {
+	e.emit(Probe{
+		Address:     row.replica.Address,
+		DialTimeout: e.dialTimeout(),
+	})
+}
+
+// beginTunnels sends the requests for a service through peers.
+func (e *Edge) beginTunnels(name waxwingwall.Model, s *serviceReach) {
+	s.cut = true
+	s.confirmed = false
+	s.failures = 0
+	s.pausedUntil = time.Time{}
+	s.healedAt = e.now
+	rows := e.endpoints.byService[name]
+	for _, row := range rows {
+		row.tunneled = true
+		row.failures = 0
+		row.failureRate = 0
+		row.backoffUntil = time.Time{}
+	}
+	e.link.dials = slices.DeleteFunc(e.link.dials, func(d dial) bool { return d.Failed && !e.countsForLink(d.Dialed) })
+	e.endpoints.paths = nil
+	e.gossip.loadChanged = true
+	e.log("endpoints_cut_off", "", field("service", name), field("endpoints", len(rows)))
+}
+
+// endTunnels uses an endpoint directly again, and all of its service once healEndpoints of
+// them are reached.
+func (e *Edge) endTunnels(row *endpoint) {
+	if !row.tunneled {
+		return
+	}
+	name := row.replica.Service
+	row.tunneled = false
+	e.endpoints.paths = nil
+	rows := e.endpoints.byService[name]
+	direct := 0
+	for _, r := range rows {
+		if !r.tunneled {
+			direct++
+		}
+	}
+	if direct < min(healEndpoints, len(rows)) {
+		return
+	}
+	for _, r := range rows {
+		r.tunneled = false
+		r.dialFailedAt = time.Time{}
+	}
+	e.reach.service(name).cut = false
+	e.gossip.loadChanged = true
+	e.log("endpoints_reached", "", field("service", name), field("endpoints", len(rows)))
+}
+
+// reachStep tests the connections to services that are silent, and whether the router
+// reaches endpoints again.
+func (e *Edge) reachStep() {
+	e.testSilent()
+	for _, service := range e.config.configuration.Services {
+		s := e.reach.services[service.Name]
+		if s == nil || !s.cut || e.now.Sub(s.healedAt) < healInterval {
+			continue
+		}
+		rows := slices.DeleteFunc(slices.Clone(e.endpoints.byService[service.Name]), func(r *endpoint) bool { return !r.tunneled })
+		if len(rows) == 0 {
+			s.cut = false
+			continue
+		}
+		s.healedAt = e.now
+		s.tests++
+		e.probe(rows[s.tests%len(rows)])
+	}
+	for key, p := range e.reach.peers {
+		if !e.now.Before(p.until) {
+			delete(e.reach.peers, key)
+		}
+	}
+}
+
+// testSilent makes connections to endpoints that have not answered in time while nothing
+// else came from their service: what was sent on open connections may be lost.
+func (e *Edge) testSilent() {
+	silent := map[waxwingwall.Model]*request{}
+	for _, r := range e.requests {
+		if !e.isSilent(r) {
+			continue
+		}
+		if first := silent[r.service]; first == nil || r.id < first.id {
+			silent[r.service] = r
+		}
+	}
+	for _, service := range e.config.configuration.Services {
+		if r := silent[service.Name]; r != nil {
+			e.testEndpoint(r.endpoint)
+		}
+	}
+}
+
+// isSilent reports whether an attempt without a tunnel has no answer in time, nor any other
+// request of its service.
+func (e *Edge) isSilent(r *request) bool {
+	wait := max(r.route.Objective, minSilence)
+	return r.endpoint != nil && r.via.VM == "" && !r.answerStarted && e.now.Sub(r.sentAt) >= wait &&
+		e.now.Sub(e.reach.service(r.service).answeredAt) >= wait
+}
+
+// testEndpoint makes a connection to a silent endpoint, at most one in silenceInterval for
+// a service.
+func (e *Edge) testEndpoint(row *endpoint) {
+	s := e.reach.service(row.replica.Service)
+	if row.tunneled || e.now.Sub(s.testedAt) < silenceInterval {
+		return
+	}
+	s.testedAt = e.now
+	e.probe(row)
+}
+
+// recordAnswer records the beginning or the end of an answer.
+func (e *Edge) recordAnswer(r *request) {
+	s := e.reach.service(r.service)
+	if r.via.VM == "" {
+		s.answeredAt = e.now
+		return
+	}
+	s.failures = 0
+	e.reach.peers[tunnelKey{r.via, r.service}] = tunnelPeer{
+		reached: true,
+		until:   e.now.Add(goodPeerTime),
+	}
+	if s.cut && !s.confirmed {
+		s.confirmed = true
+		e.gossip.loadChanged = true
+	}
+}
+
+// recordTunnelFailure records that a tunnel was not made. The endpoint is to blame if the
+// peer has reached others of its service; another peer is asked next if not.
+func (e *Edge) recordTunnelFailure(r *request, target *endpoint, ev AttemptEnded) {
+	if ev.PeerFailed {
+		e.link.addDial(e.now, Dialed{
+			Address: e.tunnelAddress(r.via),
+			Took:    e.now.Sub(r.sentAt),
+			Failed:  true,
+		})
+		e.reach.peers[tunnelKey{r.via, ""}] = tunnelPeer{
+			until: e.now.Add(lostPeerPause),
+		}
+		return
+	}
+	key := tunnelKey{r.via, r.service}
+	if e.reach.peers[key].reached {
+		target.recordUnreachable(e.now)
+	} else {
+		e.reach.peers[key] = tunnelPeer{
+			until: e.now.Add(cutPeerPause),
+		}
+	}
+	s := e.reach.service(r.service)
+	s.failures++
+	if s.failures >= maxTunnelFailures {
+		s.failures = maxTunnelFailures - outageTrials
+		s.pausedUntil = e.now.Add(outagePause)
+	}
+}
+
+// chooseTunnel returns the peer through which a request reaches an endpoint; false if the
+// router reaches it itself, or if no peer is known that may.
+func (e *Edge) chooseTunnel(row *endpoint) (waxwingwall.Incarnation, bool) {
+	if !row.tunneled {
+		return waxwingwall.Incarnation{}, false
+	}
+	service := row.replica.Service
+	if e.now.Before(e.reach.service(service).pausedUntil) {
+		return waxwingwall.Incarnation{}, false
+	}
+	peers := e.tunnelCandidates(service)
+	if len(peers) == 0 {
+		return waxwingwall.Incarnation{}, false
+	}
+	self := xxhash.Sum64String(e.Self.String())
+	weight := func(p waxwingwall.Incarnation) uint64 { return mix(self, xxhash.Sum64String(p.String())) }
+	slices.SortFunc(peers, func(a, b waxwingwall.Incarnation) int {
+		if weight(a) > weight(b) {
+			return -1
+		}
+		return 1
+	})
+	best, lowest := peers[0], 0
+	for i, p := range peers[:min(len(peers), tunnelPeers)] {
+		if running := e.peerRunning(p); i == 0 || running < lowest {
+			best = p
+			lowest = running
+		}
+	}
+	return best, true
+}
+
+// tunnelCandidates returns the peers that reach a service as far as this router knows, or
+// those that may if it knows of none. Those with slow links are left out if there are others.
+func (e *Edge) tunnelCandidates(service waxwingwall.Model) []waxwingwall.Incarnation {
+	var all, good, fast []waxwingwall.Incarnation
+	for _, p := range e.view.Peers(e.now) {
+		if !e.mayTunnel(p, service) {
+			continue
+		}
+		all = append(all, p.Incarnation)
+		if e.reach.peers[tunnelKey{p.Incarnation, service}].reached {
+			good = append(good, p.Incarnation)
+		}
+	}
+	if len(good) > 0 {
+		all = good
+	}
+	fastest := 0
+	for _, p := range all {
+		fastest = max(fastest, e.peerLink(p))
+	}
+	for _, p := range all {
+		if e.peerLink(p)*slowLinkFactor >= fastest {
+			fast = append(fast, p)
+		}
+	}
+	return fast
+}
+
+// mayTunnel reports whether a peer may be asked for a tunnel to a service.
+func (e *Edge) mayTunnel(p member.Peer, service waxwingwall.Model) bool {
+	if !p.Alive || p.Suspect || !p.Reachable || p.Leaving || !e.tunnelAddress(p.Incarnation).IsValid() {
+		return false
+	}
+	for _, key := range []tunnelKey{{p.Incarnation, ""}, {p.Incarnation, service}} {
+		if known, ok := e.reach.peers[key]; ok && !known.reached {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(e.gossip.reports[p.Incarnation].Cuts, func(c Cut) bool { return c.Service == service })
+}
+
+// peerRunning returns the number of requests that a peer reports.
+func (e *Edge) peerRunning(p waxwingwall.Incarnation) int {
+	n := 0
+	for _, l := range e.gossip.reports[p].Loads {
+		n += l.Running
+	}
+	return n
+}
+
+// Paths returns the addresses of all endpoints, each with whether this router reaches it
+// without a peer. The result must not be changed.
+func (e *Edge) Paths() map[netip.AddrPort]bool {
+	t := &e.endpoints
+	if t.paths == nil {
+		t.paths = make(map[netip.AddrPort]bool, len(t.rows))
+		for _, row := range t.rows {
+			t.paths[row.replica.Address] = !row.tunneled
+		}
+	}
+	return t.paths
+}
+
+// cuts returns the services from which this router is cut off.
+func (e *Edge) cuts() []Cut {
+	var all []Cut
+	for _, service := range e.config.configuration.Services {
+		if s := e.reach.services[service.Name]; s != nil && s.cut {
+			all = append(all, Cut{
+				Service:   service.Name,
+				Confirmed: s.confirmed,
+			})
+		}
+	}
+	return all
+}
+
+// anyConfirmed reports whether a router is known to be cut off from a service.
+func anyConfirmed(cuts []Cut) bool {
+	return slices.ContainsFunc(cuts, func(c Cut) bool { return c.Confirmed })
+}
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -68,10 +68,12 @@
 	declined int
 	tried    map[waxwingwall.Endpoint]bool
 
-	// The attempt in flight; endpoint is nil between attempts. expectedCost is the
+	// The attempt in flight; endpoint is nil between attempts. via is the peer through which
+	// it goes; its VM is empty if the endpoint is reached directly. expectedCost is the
 	// cost of the placement in milliseconds, firstLatency the time from sentAt to
 	// the first part of the answer.
 	endpoint       *endpoint
+	via            waxwingwall.Incarnation
 	sentAt         time.Time
 	sentBuild      build
 	uncachedTokens waxwingwall.Tokens
@@ -195,6 +197,7 @@
 	r.answerStarted = false
 	r.firstLatency = 0
 	r.tried[c.endpoint.replica.Endpoint] = true
+	r.via, _ = e.chooseTunnel(c.endpoint)
 	e.addLoad(r, 1)
 	e.recordReads(r, c.endpoint)
 	d := Dispatch{
@@ -208,6 +211,7 @@
 			Timeout:  remaining,
 			Offset:   r.resumeOffset(),
 		},
+		Via:           e.tunnelAddress(r.via),
 		Deadline:      r.deadline,
 		Limited:       e.limits.Limited(c.endpoint.replica.Endpoint),
 		DialTimeout:   e.dialTimeout(),
@@ -233,7 +237,7 @@
 	e.log("dispatched", r.call.ID,
 		field("route", r.route.Name), field("version", e.config.version), field("rank", r.rank),
 		field("attempt", r.attempt), field("endpoint", d.Params.Endpoint),
-		field("software", c.endpoint.replica.Version), field("among", c.candidates),
+		field("via", r.via.VM), field("software", c.endpoint.replica.Version), field("among", c.candidates),
 		field("cost_ms", int(c.cost)), field("unread", c.uncached), field("running", c.endpoint.running),
 		field("reserved", r.reserved), field("left", remaining), field("endpoints_age", e.endpoints.age(e.now)))
 	e.emit(d)
@@ -275,6 +279,7 @@
 	e.link.clear.add(e.now, r.firstLatency)
 	e.releaseSpare(r)
 	r.endpoint.heardAt = e.now
+	e.recordAnswer(r)
 	r.endpoint.recordReachable()
 	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.expectedSlowdown)
 	e.gossip.loadChanged = true
@@ -342,19 +347,26 @@
 	case Complete:
 		r.runs++
 		target.heardAt = e.now
+		e.recordAnswer(r)
 		target.recordReachable()
 		target.recordRun(e.now, false)
 	case Failed:
 		r.runs++
+		e.recordAnswer(r)
 		target.recordReachable()
 		target.recordRun(e.now, true)
 	case Declined:
 		r.declined++
+		e.recordAnswer(r)
 		target.recordRun(e.now, true)
 		if ev.Status == http.StatusMisdirectedRequest {
 			e.handleMisdirected(target)
 		}
 	case Unreachable:
+		if r.via.VM != "" {
+			e.recordTunnelFailure(r, target, ev)
+			break
+		}
 		if e.link.queueDelay(e.now) > 0 {
 			// The queue on the router's link may be the cause.
 			break
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -59,6 +59,7 @@
 // Server connects other routers to endpoints. Create it with Serve.
 type Server struct {
 	allowed  func(netip.AddrPort) bool
+	dial     tcp.Dial
 	limit    int
 	onCopied func(bytes int)
 	http     *http.Server
@@ -85,6 +86,14 @@
 	}
 }
 
+// WithDial replaces the function that makes connections to endpoints. They must be
+// *net.TCPConn.
+func WithDial(dial tcp.Dial) Option {
+	return func(s *Server) {
+		s.dial = dial
+	}
+}
+
 // WithOnCopied sets a function that receives the number of bytes of each part that was
 // copied, in either direction. It must not wait.
 func WithOnCopied(onCopied func(bytes int)) Option {
@@ -99,8 +108,11 @@
 	if _, ok := l.Addr().(*net.TCPAddr); !ok {
 		return nil, nil, errNotTCP
 	}
+	dialer := tcp.Dialer()
+	dialer.Timeout = 0
 	s := &Server{
 		allowed:  allowed,
+		dial:     dialer.DialContext,
 		limit:    defaultLimit,
 		onCopied: func(int) {},
 		open:     map[*tunnel]struct{}{},
@@ -234,7 +246,7 @@
 		return
 	}
 	defer s.release()
-	far, err := dialEndpoint(r.Context(), to, dialTimeout(r.Header))
+	far, err := s.dialEndpoint(r.Context(), to, dialTimeout(r.Header))
 	if err != nil {
 		w.WriteHeader(dialStatus(err))
 		return
@@ -272,10 +284,10 @@
 }
 
 // dialEndpoint makes a connection to an endpoint.
-func dialEndpoint(ctx context.Context, to netip.AddrPort, timeout time.Duration) (*net.TCPConn, error) {
-	dialer := tcp.Dialer()
-	dialer.Timeout = timeout
-	conn, err := dialer.DialContext(ctx, "tcp", to.String())
+func (s *Server) dialEndpoint(ctx context.Context, to netip.AddrPort, timeout time.Duration) (*net.TCPConn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := s.dial(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
 	}
--- a/relay/control.go
+++ b/relay/control.go
@@ -89,6 +89,7 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
+		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
 	})
 }
@@ -100,11 +101,16 @@
 	}
 }
 
-// reportDial reports a dial of an endpoint to the control goroutine.
+// reportDial reports a dial of an endpoint to the control goroutine, unless the request
+// ended first.
 func (r *Relay) reportDial(to netip.AddrPort, took time.Duration, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
 	r.postEvent(edge.Dialed{
 		Address: to,
 		Took:    took,
+		Failed:  err != nil && (took >= minFailedDial || !isTimeout(err)),
 		Refused: errors.Is(err, syscall.ECONNREFUSED),
 	})
 }
@@ -176,6 +182,7 @@
 	if err := r.callers.Shutdown(ctx); err != nil {
 		r.log.WithError(err).Warning("answers_unfinished")
 	}
+	r.finishTunnels(end)
 	close(r.drained)
 }
 
--- a/relay/cut_test.go
+++ b/relay/cut_test.go
@@ -139,6 +139,9 @@
 		links[vm] = &cutLink{
 			mode: mode,
 		}
+		if len(links) > cut {
+			return nil
+		}
 		return []Option{WithEndpointDial(links[vm].dial)}
 	}
 	for i := range 3 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,11 +36,16 @@
 	"waxwingwall/io/origin"
 	"waxwingwall/io/peer"
 	"waxwingwall/io/tcp"
+	"waxwingwall/io/tunnel"
 	"waxwingwall/platform"
 	"waxwingwall/settings"
 )
 
 const (
+	// minFailedDial is the shortest time without an answer after which a dial has failed;
+	// the deadline of the request ended it otherwise.
+	minFailedDial = 300 * time.Millisecond
+
 	// tickInterval is the time between two ticks of the Edge.
 	tickInterval = 50 * time.Millisecond
 
@@ -74,11 +79,13 @@
 	store    *platform.Client
 	origins  *origin.Pool
 	links    *peer.Links
+	codec    waxwingwall.HeaderCodec
+	link     link
 
-	// dial makes connections to endpoints; nil selects the default.
-	dial  tcp.Dial
-	codec waxwingwall.HeaderCodec
-	link  link
+	// dial makes connections to endpoints. tunnels makes them for peers that are cut off;
+	// nil if it has no address.
+	dial    tcp.Dial
+	tunnels *tunnel.Server
 
 	// edge, sampler, self and requests are owned by the control goroutine.
 	edge     *edge.Edge
@@ -118,6 +125,9 @@
 	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
 	endpointsAge time.Duration
 
+	// paths are the endpoints that are reached, see edge.Edge.Paths.
+	paths map[netip.AddrPort]bool
+
 	// withheld are the instances to which nothing may be sent, see edge.Edge.Withheld.
 	withheld map[edge.Instance]time.Time
 }
@@ -153,8 +163,11 @@
 // immediately.
 func New(s settings.Edge, opts ...Option) (*Relay, func(), error) {
 	ctx, cancel := context.WithCancel(context.Background())
+	dialer := tcp.Dialer()
+	dialer.Timeout = 0
 	r := &Relay{
 		settings: s,
+		dial:     dialer.DialContext,
 		log:      logrus.NewEntry(logrus.StandardLogger()),
 		codec:    platform.Headers{},
 		requests: map[uint64]*proxyRequest{},
@@ -194,7 +207,7 @@
 		platform.WithEraObserver(r.reportEra),
 	)
 	r.closers = append(r.closers, cleanup)
-	r.origins, cleanup = origin.New(r.originOptions()...)
+	r.origins, cleanup = origin.New(origin.WithDialObserver(r.reportDial), origin.WithDial(r.dial))
 	r.closers = append(r.closers, cleanup)
 	peer.Register(edge.Messages()...)
 	peer.Register(escrow.Messages()...)
@@ -212,6 +225,7 @@
 		edge.RouterInfo{
 			Peers:    r.settings.Peers,
 			Callers:  r.settings.Callers,
+			Tunnels:  r.settings.Tunnels,
 			Domain:   r.settings.Domain,
 			LinkMbps: r.settings.LinkMbps,
 		},
@@ -229,15 +243,6 @@
 	return nil
 }
 
-// originOptions returns the options of the pool of connections to endpoints.
-func (r *Relay) originOptions() []origin.Option {
-	opts := []origin.Option{origin.WithDialObserver(r.reportDial)}
-	if r.dial != nil {
-		opts = append(opts, origin.WithDial(r.dial))
-	}
-	return opts
-}
-
 // bounds returns the bounds of the settings.
 func bounds(s settings.Edge) edge.Bounds {
 	return edge.Bounds{
@@ -261,6 +266,9 @@
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, stop)
+	if err := r.serveTunnels(); err != nil {
+		return err
+	}
 	servers := []struct {
 		addr    netip.AddrPort
 		handler http.Handler
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -115,6 +115,7 @@
 		Readiness:    freePort(f.t),
 		Directory:    freePort(f.t),
 		Peers:        freePort(f.t),
+		Tunnels:      freePort(f.t),
 		Metrics:      freePort(f.t),
 		Store:        f.address,
 		Grace:        5 * time.Second,
--- a/relay/request.go
+++ b/relay/request.go
@@ -307,6 +307,7 @@
 func (p *proxyRequest) exchange(ctx context.Context, d edge.Dispatch, onStage func(origin.Stage)) edge.AttemptEnded {
 	answer, err := p.relay.origins.Do(ctx, origin.Request{
 		Address:       d.Address,
+		Via:           d.Via,
 		Method:        p.r.Method,
 		Target:        p.r.RequestURI,
 		Host:          p.r.Host,
@@ -327,6 +328,9 @@
 		// Other connections to the same address may be dead as well.
 		p.relay.origins.CloseIdle(d.Address)
 	}
+	if errors.Is(err, origin.ErrVia) {
+		p.relay.origins.CloseVia(d.Via)
+	}
 	if err != nil {
 		return failedAttempt(err)
 	}
@@ -426,8 +430,9 @@
 		result = edge.IdleTimeout
 	}
 	return edge.AttemptEnded{
-		Result: result,
-		Err:    trace.Unwrap(err).Error(),
+		Result:     result,
+		PeerFailed: errors.Is(err, origin.ErrVia),
+		Err:        trace.Unwrap(err).Error(),
 	}
 }
 
--- /dev/null
+++ b/relay/tunnel.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingwall/io/tunnel"
+)
+
+// errCutOff is the error of a tunnel to an endpoint that this router does not reach either.
+var errCutOff = errors.New("cut off from the endpoint")
+
+// serveTunnels listens for peers that are cut off from endpoints.
+func (r *Relay) serveTunnels() error {
+	if !r.settings.Tunnels.IsValid() {
+		return nil
+	}
+	l, err := net.Listen("tcp", r.settings.Tunnels.String())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server, stop, err := tunnel.Serve(l, r.allowsTunnel, tunnel.WithDial(r.dialForPeer), tunnel.WithOnCopied(r.link.add))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.tunnels = server
+	r.closers = append(r.closers, stop)
+	return nil
+}
+
+// allowsTunnel reports whether an address is that of an endpoint.
+func (r *Relay) allowsTunnel(to netip.AddrPort) bool {
+	_, ok := r.sharedState.Load().paths[to]
+	return ok
+}
+
+// dialForPeer makes a connection to an endpoint that a peer does not reach.
+func (r *Relay) dialForPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !r.sharedState.Load().paths[to] {
+		return nil, errCutOff
+	}
+	return r.dial(ctx, network, address)
+}
+
+// finishTunnels waits at a graceful stop until peers have closed their tunnels, but not
+// longer than its grace period.
+func (r *Relay) finishTunnels(end time.Time) {
+	if r.tunnels == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, time.Until(end)-exitReserve)
+	defer cancel()
+	if err := r.tunnels.Shutdown(ctx); err != nil {
+		r.log.WithError(err).WithField("tunnels", r.tunnels.Open()).Warning("tunnels_unfinished")
+	}
+}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -27,6 +27,10 @@
 	// Peers is the listen address for other routers.
 	Peers netip.AddrPort `json:"peers"`
 
+	// Tunnels is the listen address for other routers that are cut off from endpoints; the
+	// zero value disables it.
+	Tunnels netip.AddrPort `json:"tunnels"`
+
 	// Metrics is the listen address for metrics and the state dump; the zero
 	// value disables it.
 	Metrics netip.AddrPort `json:"metrics"`
@@ -105,6 +109,7 @@
 		Readiness:     ini.Get(listen, "readiness", ini.AddrPort),
 		Directory:     ini.Get(listen, "directory", ini.AddrPort),
 		Peers:         ini.Get(listen, "peers", ini.AddrPort),
+		Tunnels:       ini.Get(listen, "tunnels", ini.AddrPort, netip.AddrPort{}),
 		Metrics:       ini.Get(listen, "metrics", ini.AddrPort, netip.AddrPort{}),
 		Store:         ini.Get(store, "address", ini.AddrPort),
 		MemoryBytes:   ini.Get(limits, "memory_mb", ini.Int[int64](0, maxMemoryMB), 0) << 20,
