core/edge: tests of cuts that come again, restarts, outages, lists and parts of a service

Modelled fleets without a network: a cut that heals and comes again three times, routers that start inside it, the store away at the same time, an outage of all endpoints that must not be taken for a cut, which routers are listed, some endpoints of a service out of reach. All passed when written, with requests through peers in place.

--- a/core/edge/reach_test.go
+++ b/core/edge/reach_test.go
@@ -328,3 +328,105 @@
 		}
 	}
 }
+
+// TestCutComesAgain guards against a router that does not notice that it is cut off once
+// more, or goes on through peers after a cut.
+func TestCutComesAgain(t *testing.T) {
+	group := func(i int) bool { return i < 3 }
+	m := newReachModel(t, 8, silence)
+	for range 3 {
+		m.begin(func(i int, _ *limitEngine) bool { return group(i) })
+		there, elsewhere := m.call(contactTime+countedTime/2, contactTime, group)
+		checkTally(t, there, elsewhere)
+		m.end()
+		m.call(2*time.Second, 0, group)
+		before := m.tunnels
+		m.call(time.Second, 0, group)
+		if m.tunnels != before {
+			t.Errorf("%d tunnels after the cut", m.tunnels-before)
+		}
+	}
+}
+
+// TestRestartInsideCut guards against a router that starts while it is cut off, and has
+// never had a connection to an endpoint.
+func TestRestartInsideCut(t *testing.T) {
+	group := func(i int) bool { return i < 5 }
+	m := newReachModel(t, 8, hang)
+	m.begin(func(i int, _ *limitEngine) bool { return group(i) })
+	for i := range 3 {
+		m.restart(i, 500*time.Millisecond)
+	}
+	m.run(time.Second)
+	there, elsewhere := m.call(contactTime+countedTime, contactTime, group)
+	checkTally(t, there, elsewhere)
+}
+
+// TestCutWithoutStore guards against a router that needs the store to notice that it is cut
+// off, or to find a peer.
+func TestCutWithoutStore(t *testing.T) {
+	group := func(i int) bool { return i < 3 }
+	m := newReachModel(t, 8, hang)
+	m.away = true
+	m.begin(func(i int, _ *limitEngine) bool { return group(i) })
+	there, elsewhere := m.call(contactTime+countedTime, contactTime, group)
+	checkTally(t, there, elsewhere)
+}
+
+// TestOutageIsNoCut guards against an outage of all endpoints that is taken for a cut: no
+// router leaves the lists, tunnels stay few, and service is back soon after it.
+func TestOutageIsNoCut(t *testing.T) {
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			all := func(int) bool { return true }
+			m := newReachModel(t, 8, mode)
+			m.begin(func(int, *limitEngine) bool { return true })
+			m.call(6*time.Second, 0, all)
+			for i, r := range m.routers {
+				if addresses, _ := r.edge.Addresses(m.now); len(addresses) != len(m.routers) {
+					t.Errorf("router %d lists %d", i, len(addresses))
+				}
+			}
+			if limit := len(m.routers) * 2 * maxTunnelFailures; m.tunnels > limit {
+				t.Errorf("%d tunnels, at most %d", m.tunnels, limit)
+			}
+			m.end()
+			m.run(time.Second)
+			if served, _ := m.call(2*time.Second, 0, all); served.share() < 0.99 {
+				t.Errorf("after the outage: %+v", served)
+			}
+		})
+	}
+}
+
+// TestCutRoutersNotListed guards against callers that are sent to a router which reaches
+// endpoints through peers only, and against a fleet that lists too few: routers are left out
+// while at least half are not cut off.
+func TestCutRoutersNotListed(t *testing.T) {
+	for cut, want := range map[int]int{1: 7, 4: 4, 5: 8} {
+		m := newReachModel(t, 8, hang)
+		group := func(i int) bool { return i < cut }
+		m.begin(func(i int, _ *limitEngine) bool { return group(i) })
+		m.call(contactTime, 0, group)
+		for i, r := range m.routers {
+			if addresses, _ := r.edge.Addresses(m.now); len(addresses) != want {
+				t.Errorf("%d of 8 cut off: router %d lists %d, not %d", cut, i, len(addresses), want)
+			}
+		}
+		m.end()
+		m.call(2*time.Second, 0, group)
+		if addresses, _ := m.routers[7].edge.Addresses(m.now); len(addresses) != 8 {
+			t.Errorf("after the cut: lists %d", len(addresses))
+		}
+	}
+}
+
+// TestSomeEndpointsOutOfReach guards against a router that reaches some endpoints of a
+// service and fails the requests for the others.
+func TestSomeEndpointsOutOfReach(t *testing.T) {
+	group := func(i int) bool { return i < 3 }
+	m := newReachModel(t, 8, hang)
+	m.begin(func(i int, e *limitEngine) bool { return group(i) && m.number(e) > 0 })
+	there, elsewhere := m.call(contactTime+countedTime, contactTime, group)
+	checkTally(t, there, elsewhere)
+}
