core/limit: keep the asks of a router whose incarnation is renewed

Callers saw nothing until their own time limit: a request that waited for a permit while its router renewed its incarnation got neither an answer nor a refusal. Requests are read whole before they wait.

Cause: an ask in the queue of its own router names the incarnation that asked. After SetSelf its answer, granted or denied, was sent as a message to the former incarnation instead of being resolved, and Cancel did not find it. A permit of the former incarnation that was given back went the same way, so its token was lost.

The asks are now passed to the new incarnation with SetSelf, and a permit of this VM is given back here: both belong to one process.

--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -205,9 +205,11 @@
 
 // SetSelf sets the router's incarnation.
 func (l *Limiter) SetSelf(self waxwingwall.Incarnation) {
+	before := l.self
 	l.self = self
 	for _, p := range l.pools {
 		p.owner = l.chooseOwner(p.name)
+		p.renew(before, self)
 	}
 }
 
--- a/core/limit/permit.go
+++ b/core/limit/permit.go
@@ -178,7 +178,7 @@
 		Pool:     g.Pool,
 		Endpoint: g.Endpoint,
 	}
-	if g.By == l.self {
+	if g.By.VM == l.self.VM {
 		l.handleReturn(now, l.self, r)
 		return
 	}
--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -169,6 +169,15 @@
 	q.waiting = slices.DeleteFunc(q.waiting, func(o *entry) bool { return o == e })
 }
 
+// renew passes the asks of an incarnation to the one that replaces it.
+func (q *queue) renew(before, after waxwingwall.Incarnation) {
+	for _, e := range q.waiting {
+		if e.from == before {
+			e.from = after
+		}
+	}
+}
+
 // find returns the entry of an ask, or nil.
 func (q *queue) find(from waxwingwall.Incarnation, id uint64) *entry {
 	i := slices.IndexFunc(q.waiting, func(e *entry) bool { return e.from == from && e.ask.ID == id })
