core/edge: end waiting requests before their deadline

Callers saw no answer in their time: a request that waits for a share of its budget was refused up to 0.8 s after its deadline, as only the wait of the book ended it. A permit whose owner is silent, and the version of a stream, are late by up to 0.2 s in the same way.

Each tick now ends what has no attempt in flight and too little time left for one: as not run where no endpoint may have run it, and else with an unknown outcome. The limits of the waits themselves stay as they are.

Evidence: found by a property test of requests (caller time 200 ms, without an end 550 ms after it, in the 10th case). TestWaitEndsBeforeDeadline failed before: no refusal within the 200 ms.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"sort"
 
 	"waxwingwall"
@@ -175,10 +176,39 @@
 	})
 	for _, r := range waiting {
 		if !e.now.Before(r.deadline) {
-			r.waiting = false
-			e.refuse(r, e.unavailableProblem("budget_out_of_reach", "no share of the budget came in time", defaultRetryAfter))
+			e.refuseUnfunded(r)
 			continue
 		}
 		e.fundRequest(r)
 	}
 }
+
+// expireWaits ends the requests that wait for tokens, a permit or the version of their stream
+// and have no time left for an attempt. What they wait for has limits of its own, which may
+// be later.
+func (e *Edge) expireWaits() {
+	var expired []uint64
+	for id, r := range e.requests {
+		if r.endpoint == nil && r.deadline.Sub(e.now) < minAttemptTime {
+			expired = append(expired, id)
+		}
+	}
+	slices.Sort(expired)
+	for _, id := range expired {
+		r := e.requests[id]
+		switch {
+		case r == nil || r.endpoint != nil:
+			// The end of another request has changed this one.
+		case r.waiting:
+			e.refuseUnfunded(r)
+		default:
+			e.fail(r, DeadlineExceeded)
+		}
+	}
+}
+
+// refuseUnfunded refuses a request that has waited for tokens until its deadline.
+func (e *Edge) refuseUnfunded(r *request) {
+	r.waiting = false
+	e.refuse(r, e.unavailableProblem("budget_out_of_reach", "no share of the budget came in time", defaultRetryAfter))
+}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -307,6 +307,7 @@
 	e.notices.Expire(e.now)
 	e.expireNotices()
 	e.removeMissing()
+	e.expireWaits()
 	e.logOverdue()
 	e.versionStep()
 	e.drainStep()
--- a/core/edge/silence_test.go
+++ b/core/edge/silence_test.go
@@ -32,6 +32,28 @@
 	}
 }
 
+// TestWaitEndsBeforeDeadline guards against a request whose refusal comes after its deadline:
+// it waits for a share of its budget for longer than its caller waits.
+func TestWaitEndsBeforeDeadline(t *testing.T) {
+	h := newHarness(t)
+	c := testConfiguration(2)
+	c.Accounts[0].Metered = true
+	c.Accounts[0].Prepaid = 1_000_000
+	h.step(Configured{
+		Configuration: c,
+	})
+	short := call("advice")
+	short.CallerTimeout = 200 * time.Millisecond
+	_, out := h.arrive(short)
+	if has[Dispatch](out) || has[Refuse](out) {
+		t.Fatalf("not waiting: %+v", out)
+	}
+	out = h.advance(short.CallerTimeout)
+	if p := only[Refuse](h, out).Problem; p.Outcome != waxwingwall.NotRun || p.RetryAfter <= 0 {
+		t.Errorf("got %+v, want a refusal as not run with a retry time", p)
+	}
+}
+
 // stallHarness returns a harness with a stream under way that has had two events, and its
 // dispatch.
 func stallHarness(t rapid.TB) (*harness, Dispatch) {
