core/sched: do not panic without ranks

Callers of all routers at once got neither an answer nor a refusal: a configuration with endpoints and without a rank is accepted, and the next step of each router that takes it panics on its control goroutine, which ends the process with all its requests.

Cause: preempt reads the most urgent class of a pool; a pool has a class for each rank, so there is none.

Without ranks there is nothing to preempt, and offers are refused by the rank.

--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -24,6 +24,9 @@
 // youngest job of the lowest rank that exceeds its share, to be resumed later.
 // It returns nil if there is no need or no such job.
 func (s *Scheduler) preempt(now time.Time, p *pool) effect.Action {
+	if len(p.classes) == 0 {
+		return nil
+	}
 	all := p.urgentWaiting(now)
 	if s.preemptions.Left() < 1 {
 		return nil
--- a/core/sched/removal_test.go
+++ b/core/sched/removal_test.go
@@ -127,3 +127,20 @@
 	m.run(20 * time.Second)
 	m.expectWhole(2)
 }
+
+// TestNoRanksLeft guards against a router that panics, with all its requests, because a
+// configuration has endpoints and no ranks.
+func TestNoRanksLeft(t *testing.T) {
+	m := newStreams(t, 4)
+	m.offerAll(1, 0)
+	first := m.last()
+	m.s.SetRanks(nil)
+	m.run(time.Second)
+	if v := m.offer("shop", 0); v.Decision != sched.Refused {
+		t.Errorf("without a rank an offer is answered %+v", v)
+	}
+	m.run(20 * time.Second)
+	if !m.whole[first.Identity] {
+		t.Error("the request that ran has no whole answer")
+	}
+}
