core/sched: do not preempt what was dispatched in the same step

Callers of work of a lower rank got a refusal as "unknown", with slot_unavailable, for a request that had not been sent: the scheduler dispatched it and preempted it again in the same step, for urgent work that could not use the slot. The node handles these actions only afterwards. It begins the claim for the first dispatch and can't hold the attempt any more; the cancel then marks it as one that may have run, and the second dispatch finds the claim begun and ends the request. If the claim was clear first, the node started an attempt that the scheduler no longer counted.

Preemption now skips the dispatches of its own step; in the next one the driver has held what is not yet recorded.

--- a/core/sched/change_test.go
+++ b/core/sched/change_test.go
@@ -18,6 +18,7 @@
 	attempt    int
 	endpoint   waxwingwall.Endpoint
 	tokens     waxwingwall.Tokens
+	held       bool
 	answers    bool
 	mayHaveRun bool
 	ends       int
@@ -40,7 +41,7 @@
 			c.dispatched(a)
 		case sched.Cancel:
 			p := c.requests[a.Identity]
-			if p.ends > 0 || p.endpoint == "" || p.attempt != a.Attempt {
+			if p.ends > 0 || p.endpoint == "" || p.attempt != a.Attempt || p.held {
 				c.t.Fatalf("%v: attempt %d is cancelled, which isn't running", a.Identity, a.Attempt)
 			}
 			p.endpoint = ""
@@ -69,12 +70,18 @@
 	p.attempt = d.Attempt
 	p.endpoint = d.Endpoint
 	p.answers = false
-	if rapid.Bool().Draw(c.t, "recorded") {
+	p.held = d.Attempt == 1
+	if p.held {
 		c.s.Hold(d.Identity)
-		c.s.Start(c.now, d.Identity)
 	}
 }
 
+// start sends a request whose begin is recorded.
+func (c *changer) start(id waxwingwall.Identity) {
+	c.requests[id].held = false
+	c.s.Start(c.now, id)
+}
+
 func (c *changer) refused(r sched.Refuse) {
 	p := c.requests[r.Identity]
 	p.ends++
@@ -171,6 +178,7 @@
 		t.Skip("no attempt is running")
 	}
 	id := rapid.SampledFrom(ids).Draw(t, "running")
+	c.start(id)
 	return id, c.requests[id]
 }
 
@@ -270,6 +278,7 @@
 func (c *changer) endAll() {
 	for range 8 {
 		for _, id := range c.running() {
+			c.start(id)
 			c.finish(id, sched.None, 0)
 		}
 		c.pass(10 * time.Second)
@@ -280,3 +289,25 @@
 		}
 	}
 }
+
+// TestNewDispatchIsNotPreempted guards against a request that is dispatched and preempted in
+// the same step: the driver, which has yet to record it, starts an attempt that the scheduler
+// has given up, or refuses the request as unknown at the next one.
+func TestNewDispatchIsNotPreempted(t *testing.T) {
+	r := newRig()
+	one := endpoints(1)
+	one[0].Concurrency = 3
+	r.s.SetEndpoints(r.now, one)
+	suspect := func(w *sched.Work) { w.Fingerprint = 7 }
+	r.offer("shop", 0, suspect)
+	r.finish(r.last(), sched.Crashed)
+	r.now = r.now.Add(300 * time.Millisecond)
+	for range 3 {
+		r.offer("shop", 0, suspect)
+	}
+	r.now = r.now.Add(100 * time.Millisecond)
+	r.offer("shop", 2, func(w *sched.Work) { w.Idempotent = true })
+	for _, c := range r.cancels {
+		t.Errorf("%v is cancelled; dispatches %+v", c.Identity, r.dispatches)
+	}
+}
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -70,7 +70,8 @@
 }
 
 // youngest returns the idempotent job of a class that was offered last, among
-// those on endpoints where its slot becomes free and the waiting job may use it.
+// those on endpoints where its slot becomes free and the waiting job may use it. Jobs
+// dispatched in this step don't count, as the driver doesn't know of them yet.
 func (s *Scheduler) youngest(now time.Time, p *pool, c *class, waiting *job) *job {
 	var best *job
 	for _, e := range p.endpoints {
@@ -81,7 +82,7 @@
 			continue
 		}
 		for _, j := range e.running {
-			if j.class != c || j.held || !j.work.Idempotent || j.attempt > maxPreemptAttempts {
+			if j.class != c || j.held || !j.dispatchedAt.Before(now) || !j.work.Idempotent || j.attempt > maxPreemptAttempts {
 				continue
 			}
 			if best == nil || j.seq > best.seq {
