core/edge: an endpoint that moves to another service leaves its cut

An endpoint that was reached through a peer kept that mark as it moved to a service that the router is not cut off from, where nothing tests whether it is reached again; its requests would have gone through peers for ever. TestEndpointMovesOutOfCut fails without the change. The choice of a peer hashes each name once, and an entry with an odd service leaves no state.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -225,7 +225,7 @@
 			parts:     map[uint64]time.Time{},
 		}
 		t.add(row)
-		row.tunneled = e.reach.service(r.Service).cut
+		row.tunneled = e.isCut(r.Service)
 		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.endpointListed(r.Endpoint, r.Service, 0, buildOf(r))
@@ -255,6 +255,7 @@
 	moved := old.replica.Service != r.Service
 	if moved {
 		t.remove(old)
+		old.tunneled = e.isCut(r.Service)
 		e.limits.Forget(r.Endpoint)
 	}
 	before := old.build
--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -389,22 +390,16 @@
 	if len(peers) == 0 {
 		return waxwingwall.Incarnation{}, false
 	}
+	// Each router that is cut off prefers other peers, which shares the load among them.
 	self := xxhash.Sum64String(e.Self.String())
-	weight := func(p waxwingwall.Incarnation) uint64 { return mix(self, xxhash.Sum64String(p.String())) }
-	slices.SortFunc(peers, func(a, b waxwingwall.Incarnation) int {
-		if weight(a) > weight(b) {
-			return -1
-		}
-		return 1
-	})
-	best, lowest := peers[0], 0
-	for i, p := range peers[:min(len(peers), tunnelPeers)] {
-		if running := e.peerRunning(p); i == 0 || running < lowest {
-			best = p
-			lowest = running
-		}
-	}
-	return best, true
+	weights := make(map[waxwingwall.Incarnation]uint64, len(peers))
+	for _, p := range peers {
+		weights[p] = mix(self, xxhash.Sum64String(p.String()))
+	}
+	slices.SortFunc(peers, func(a, b waxwingwall.Incarnation) int { return cmp.Compare(weights[b], weights[a]) })
+	return slices.MinFunc(peers[:min(len(peers), tunnelPeers)], func(a, b waxwingwall.Incarnation) int {
+		return cmp.Compare(e.peerRunning(a), e.peerRunning(b))
+	}), true
 }
 
 // tunnelCandidates returns the peers that reach a service as far as this router knows, or
@@ -470,6 +465,12 @@
 	return t.paths
 }
 
+// isCut reports whether the router is cut off from a service.
+func (e *Edge) isCut(name waxwingwall.Model) bool {
+	s := e.reach.services[name]
+	return s != nil && s.cut
+}
+
 // cuts returns the services from which this router is cut off.
 func (e *Edge) cuts() []Cut {
 	var all []Cut
--- a/core/edge/reach_test.go
+++ b/core/edge/reach_test.go
@@ -430,3 +430,28 @@
 	there, elsewhere := m.call(contactTime+countedTime, contactTime, group)
 	checkTally(t, there, elsewhere)
 }
+
+// TestEndpointMovesOutOfCut guards against an endpoint that is reached through peers for ever,
+// because it moved to another service during a cut.
+func TestEndpointMovesOutOfCut(t *testing.T) {
+	h := newHarness(t)
+	all := engines(4)
+	for _, r := range all {
+		h.step(Dialed{
+			Address: r.Address,
+			Failed:  true,
+		})
+	}
+	row := h.edge.endpoints.rows[all[0].Endpoint]
+	if !row.tunneled {
+		t.Fatal("not cut off")
+	}
+	all[0].Service = "other"
+	h.step(Replicas{
+		Replicas: all[:1],
+		Revision: 11,
+	})
+	if row.tunneled {
+		t.Error("still reached through peers")
+	}
+}
