relay: limit the wait for the body of a refused request

Callers whose request is refused by its head (head or length over the limit, bad fields, no memory, full link) got no answer if their body did not arrive: the server reads up to 256 KB of a body before it sends the answer, and only requests that pass the head had a limit of time for their body. The wait had no end, and held the connection, also through a stop.

The limit for the body now holds from the start of each request with a body.

--- a/relay/head.go
+++ b/relay/head.go
@@ -14,6 +14,7 @@
 
 // readRequest parses the header of the request and reads its body.
 func (p *proxyRequest) readRequest(limits waxwingwall.CallerLimits) *waxwingwall.Problem {
+	p.limitBodyTime(limits)
 	path := p.r.URL.EscapedPath()
 	var err error
 	p.call, err = p.relay.codec.ParseCall(p.r.Host, path, p.r.Header)
@@ -41,17 +42,23 @@
 	return p.readBody(limits)
 }
 
+// limitBodyTime limits the time to receive the body. It applies to requests that are refused
+// by their head as well, as the server reads some of the body before it sends the answer.
+func (p *proxyRequest) limitBodyTime(limits waxwingwall.CallerLimits) {
+	if limits.HeaderTime <= 0 || p.r.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(p.w).SetReadDeadline(p.arrived.Add(limits.HeaderTime)); err != nil {
+		p.relay.log.WithError(err).Warning("no_read_deadline")
+	}
+}
+
 // readBody reads the body within the limits and sets the fingerprint.
 func (p *proxyRequest) readBody(limits waxwingwall.CallerLimits) *waxwingwall.Problem {
 	if p.r.ContentLength == 0 {
 		p.fingerprint()
 		return nil
 	}
-	if limits.HeaderTime > 0 {
-		if err := http.NewResponseController(p.w).SetReadDeadline(p.arrived.Add(limits.HeaderTime)); err != nil {
-			p.relay.log.WithError(err).Warning("no_read_deadline")
-		}
-	}
 	reader := io.Reader(p.r.Body)
 	if limits.BodyBytes > 0 {
 		reader = io.LimitReader(reader, limits.BodyBytes+1)
