router, daemon: a stop answers what callers sent through the router

Callers of a router that stopped gracefully got neither an answer nor a refusal for requests that another router owned. The stop waited for the requests that the router owned itself; once it had handed its slots over it closed the listeners, gave open calls 5 s and closed their connections. The limit of a stop did the same to whatever was left. A draining router passes all its new requests on to other owners, so most of what it took was at risk.

The gateway now counts its answers, whoever owns their requests. Once drained, the router refuses new requests as not run and waits for these answers; 5 s before the limit, or half of it if that is less, the rest ends with a problem, and the connections have that time to be written.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -161,12 +161,37 @@
 
 // Drain stops the process gracefully: it waits until no request is running, the
 // budget shares are returned, the slots are handed off with their claims and the
-// bills are written to the table, and then closes the HTTP servers. It returns
-// early, with an error, when ctx is done.
+// bills are written to the table, and until all callers have their answers, those
+// to requests of other owners included. Then it closes the HTTP servers.
+//
+// Some time before the deadline of ctx, the answers that are left end with a problem;
+// Drain then returns an error.
 func (d *Daemon) Drain(ctx context.Context) error {
 	if err := d.Router.Drain(ctx); err != nil {
 		return trace.Wrap(err)
 	}
+	work, cancel := withoutShutdown(ctx)
+	defer cancel()
+	drainErr := d.awaitDrained(work)
+	d.Router.EndAnswers(work)
+	if err := d.shutdown(ctx); drainErr == nil {
+		return err
+	}
+	return drainErr
+}
+
+// withoutShutdown returns a context that ends before ctx by the time that closing the
+// servers may take.
+func withoutShutdown(ctx context.Context) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline.Add(-min(shutdownTimeout, time.Until(deadline)/2)))
+}
+
+// awaitDrained waits until the router is drained.
+func (d *Daemon) awaitDrained(ctx context.Context) error {
 	select {
 	case <-d.Router.Drained():
 	case <-ctx.Done():
@@ -175,6 +200,11 @@
 	if d.Router.Closed() {
 		return trace.CompareFailed("another router closed this incarnation before the drain was complete")
 	}
+	return nil
+}
+
+// shutdown closes the HTTP servers once their open calls are answered.
+func (d *Daemon) shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	for _, s := range d.servers {
--- a/router/gateway.go
+++ b/router/gateway.go
@@ -88,14 +88,26 @@
 		}
 		return nil, p
 	}
-	a := &answer{
-		router:  r,
-		request: req,
+	served, err := r.answers.serve(ctx, func(ctx context.Context) (waxwingwall.Answer, error) {
+		a := &answer{
+			router:  r,
+			request: req,
+		}
+		return a, a.begin(ctx)
+	})
+	if errors.Is(err, errAnswersClosed) {
+		return nil, refusedByStop(req)
 	}
-	if err := a.begin(ctx); err != nil {
-		return nil, err
+	return served, err
+}
+
+// refusedByStop returns the problem of a request that arrived too late in a stop.
+func refusedByStop(req *waxwingwall.Request) *waxwingwall.Problem {
+	p := stopping()
+	if !req.Keyed {
+		p.Outcome = waxwingwall.NotRun
 	}
-	return a, nil
+	return p
 }
 
 // begin submits the request for the first time. A request without a key gets one
--- a/router/router.go
+++ b/router/router.go
@@ -70,9 +70,10 @@
 	// node is accessed only by the control goroutine.
 	node *core.Node
 
-	// snapshot, runs and links are shared with traffic goroutines.
+	// snapshot, runs, answers and links are shared with traffic goroutines.
 	snapshot atomic.Pointer[Snapshot]
 	runs     runs
+	answers  *answers
 	links    *peer.Links
 
 	closeLinks func()
@@ -125,7 +126,7 @@
 }
 
 // New starts a router and returns it with a function that stops it immediately.
-// For a graceful stop, call Drain first and wait for Drained.
+// For a graceful stop, call Drain first, wait for Drained and call EndAnswers.
 func New(s settings.Settings, p Platform, runner waxwingwall.Runner, opts ...Option) (*Router, func(), error) {
 	operatorHashes, err := s.OperatorKeys.KeyHashes()
 	if err != nil {
@@ -138,6 +139,7 @@
 		runner:         runner,
 		log:            logrus.NewEntry(logrus.StandardLogger()),
 		operatorHashes: operatorHashes,
+		answers:        newAnswers(),
 		inbox:          make(chan job, inboxSize),
 		ctx:            ctx,
 		cancel:         cancel,
@@ -167,6 +169,7 @@
 // stop stops the router immediately and waits for its goroutines.
 func (r *Router) stop() {
 	r.cancel()
+	r.answers.end()
 	r.runs.stopAll(stopping())
 	r.closeLinks()
 	r.wg.Wait()
