io/origin: an answer that is reset during the upload doesn't look complete

Callers could get a part of an answer that looked complete: one without a length, whose endpoint sent a part of it, read on and then reset the connection. The kernel reports a reset only once. If the concurrent write of the body gets it, the read sees a plain end, which Answer.Read took as the end of the answer.

tcp.Conn notes the failure that a write got, and reports it at the end of the reads. Only a connection that is closed in both directions (TCP_INFO) waits for a write that is under way, which then ends at once; after an orderly end of the endpoint's side nothing waits, so an endpoint that ends its answer before it has read the request is not held back. EPIPE is no failure: a reset after the orderly end is reported so.

TestEndDuringUpload passed before and passes; it fails if reads always wait for the write, or if EPIPE counts.

Limits: an endpoint that closes its socket with unread bytes of the request resets the connection and now counts so every time. An answer whose orderly end is read only after the write has timed out counts as broken.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -337,6 +337,7 @@
 	p.mu.Lock()
 	p.dials++
 	p.mu.Unlock()
+	nc = tcp.NewConn(nc)
 	c := &conn{
 		Conn: nc,
 		source: source{
--- /dev/null
+++ b/io/tcp/conn.go
@@ -0,0 +1,97 @@
+package tcp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// stateClosed is the state TCP_CLOSE of a connection, as TCP_INFO reports it.
+const stateClosed = 7
+
+// Conn is a connection whose reads report that it failed. The kernel reports a failure only
+// once: after a write has got it, a read of a plain connection sees an orderly end. Create
+// it with NewConn.
+type Conn struct {
+	net.Conn
+
+	// writing is held during each write. failed is the failure that one of them reported;
+	// nil if there is none.
+	writing sync.Mutex
+	failed  error
+}
+
+// NewConn returns a Conn over a connection.
+func NewConn(conn net.Conn) *Conn {
+	return &Conn{
+		Conn: conn,
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if isFailure(err) {
+		c.failed = err
+	}
+	return n, err
+}
+
+// isFailure reports whether an error of a write is a failure of the connection that a read
+// does not report as well. EPIPE follows an orderly end, or a failure that was reported.
+func isFailure(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && !errors.Is(err, syscall.EPIPE)
+}
+
+// Read implements net.Conn. Its end is io.EOF only if the peer ended the connection in order.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if !errors.Is(err, io.EOF) || !c.isClosed() {
+		return n, err
+	}
+	if failed := c.failure(); failed != nil {
+		return n, failed
+	}
+	return n, err
+}
+
+// failure returns the failure that a write reported. The connection must be closed, so that
+// a write that is under way ends at once.
+func (c *Conn) failure() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.failed
+}
+
+// isClosed reports whether nothing can be sent any more. After an orderly end of the peer's
+// side that is still possible.
+func (c *Conn) isClosed() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := true
+	if err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		closed = err != nil || info.State == stateClosed
+	}); err != nil {
+		return true
+	}
+	return closed
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
