core/edge: a router that few callers use notices that it is cut off before they do

A router with hardly any requests noticed only by one of them that it reached no endpoint, and a request that may not be repeated was lost on a connection that had fallen silent. With many such routers the first tries of all of them failed.

A service of which a router has heard nothing for 1.5 s, no answer and no connection, is now tested with one connection.

--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -43,6 +43,10 @@
 	minSilence      = 300 * time.Millisecond
 	silenceInterval = time.Second
 
+	// idleInterval is the time without an answer and without a connection after which the
+	// connections to a service are tested, whether or not there are requests for it.
+	idleInterval = 1500 * time.Millisecond
+
 	// healInterval is the time between two connections that test whether the router
 	// reaches its endpoints again; healEndpoints is the number that must succeed until
 	// all endpoints of the service are used directly.
@@ -111,12 +115,13 @@
 	failures    int
 	pausedUntil time.Time
 
-	// answeredAt is when an answer last began or ended that came without a tunnel.
-	answeredAt time.Time
+	// answeredAt is when an answer last began or ended that came without a tunnel, dialedAt
+	// when a connection was last made without one.
+	answeredAt, dialedAt time.Time
 
 	// sweptAt, testedAt and healedAt are the times of the last sweep, of the last test of
-	// a silent endpoint and of the last test whether the cut is over; tests counts the
-	// latter.
+	// a silent or idle service and of the last test whether the cut is over; tests counts
+	// the latter.
 	sweptAt, testedAt, healedAt time.Time
 	tests                       int
 }
@@ -147,6 +152,7 @@
 				e.checkCut(s.Name)
 			default:
 				row.dialedAt = e.now
+				e.reach.service(s.Name).dialedAt = e.now
 				row.dialFailedAt = time.Time{}
 				e.endTunnels(row)
 			}
@@ -270,18 +276,12 @@
 func (e *Edge) reachStep() {
 	e.testSilent()
 	for _, service := range e.config.configuration.Services {
-		s := e.reach.services[service.Name]
-		if s == nil || !s.cut || e.now.Sub(s.healedAt) < healInterval {
-			continue
+		s := e.reach.service(service.Name)
+		if s.cut {
+			e.testHealed(service.Name, s)
+		} else {
+			e.testIdle(service.Name, s)
 		}
-		rows := slices.DeleteFunc(slices.Clone(e.endpoints.byService[service.Name]), func(r *endpoint) bool { return !r.tunneled })
-		if len(rows) == 0 {
-			s.cut = false
-			continue
-		}
-		s.healedAt = e.now
-		s.tests++
-		e.probe(rows[s.tests%len(rows)])
 	}
 	for key, p := range e.reach.peers {
 		if !e.now.Before(p.until) {
@@ -290,6 +290,40 @@
 	}
 }
 
+// testHealed tests whether the router reaches a service again from which it is cut off.
+func (e *Edge) testHealed(name waxwingwall.Model, s *serviceReach) {
+	if e.now.Sub(s.healedAt) < healInterval {
+		return
+	}
+	rows := slices.DeleteFunc(slices.Clone(e.endpoints.byService[name]), func(r *endpoint) bool { return !r.tunneled })
+	if len(rows) == 0 {
+		s.cut = false
+		return
+	}
+	s.healedAt = e.now
+	s.tests++
+	e.probe(rows[s.tests%len(rows)])
+}
+
+// testIdle tests the connections to a service of which the router has heard nothing for some
+// time, so that it notices a cut before its next caller does.
+func (e *Edge) testIdle(name waxwingwall.Model, s *serviceReach) {
+	rows := e.endpoints.byService[name]
+	if s.testedAt.IsZero() {
+		s.testedAt = e.now
+	}
+	for _, at := range []time.Time{s.answeredAt, s.dialedAt, s.testedAt} {
+		if e.now.Sub(at) < idleInterval {
+			return
+		}
+	}
+	if len(rows) == 0 || !e.drainStart.IsZero() {
+		return
+	}
+	s.testedAt = e.now
+	e.probe(rows[e.rng.IntN(len(rows))])
+}
+
 // testSilent makes connections to endpoints that have not answered in time while nothing
 // else came from their service: what was sent on open connections may be lost.
 func (e *Edge) testSilent() {
--- a/core/edge/reach_test.go
+++ b/core/edge/reach_test.go
@@ -82,6 +82,13 @@
 	tried, served int
 }
 
+func (n *tally) add(t *try) {
+	n.tried++
+	if t.served {
+		n.served++
+	}
+}
+
 func (n tally) share() float64 {
 	return float64(n.served) / float64(max(n.tried, 1))
 }
@@ -266,10 +273,7 @@
 		if group(t.router) {
 			n = &in
 		}
-		n.tried++
-		if t.served {
-			n.served++
-		}
+		n.add(t)
 	}
 	return in, out
 }
@@ -329,6 +333,34 @@
 	}
 }
 
+// TestIdleRoutersWithoutEndpoints guards against routers that notice only by failed requests
+// that they are cut off: with few callers each, the first request at each router fails.
+func TestIdleRoutersWithoutEndpoints(t *testing.T) {
+	for name, mode := range modes {
+		t.Run(name, func(t *testing.T) {
+			group := func(i int) bool { return i%3 == 0 }
+			m := newReachModel(t, 72, mode)
+			m.call(time.Second, 0, group)
+			m.begin(func(i int, _ *limitEngine) bool { return group(i) })
+			m.run(contactTime)
+			there, elsewhere := tally{}, tally{}
+			var tries []*try
+			for i := range m.routers {
+				tries = append(tries, m.try(i, "draft"))
+			}
+			m.run(tryTime)
+			for _, try := range tries {
+				n := &elsewhere
+				if group(try.router) {
+					n = &there
+				}
+				n.add(try)
+			}
+			checkTally(t, there, elsewhere)
+		})
+	}
+}
+
 // TestCutComesAgain guards against a router that does not notice that it is cut off once
 // more, or goes on through peers after a cut.
 func TestCutComesAgain(t *testing.T) {
