io/tcp: outlast a silence of two seconds and a closed window

Callers saw an attempt fail, or an answer end within, when a sound endpoint acknowledged nothing for a second or two, or read a long body late. Cause: TCP_USER_TIMEOUT. It replaces the count of keep-alive probes, cuts the last retransmission timeout short, and goes on while the receive window is closed, although the peer acknowledges each probe of it.

Weighed: - A longer user timeout, 6 s or 10 s, on both paths: enough for the silence (three times its length, as retransmission timeouts double), but dead idle connections, found after 3 s in io/origin until now, would stay as long, and a window that is closed for longer still ends a sound connection. - Keep-alive alone: it does not run while bytes are unacknowledged, so a request that is sent on a dead connection would wait for some 15 minutes of retransmissions or its deadline. - The stall handling and deadlines of core/edge alone: they move what may be repeated, but a request that may not be would hold its attempt, and no result would tell of the endpoint. - In force: no user timeout. Keep-alive ends an idle connection, or one that waits for its answer, 5 s after the last receipt (7 s for the patient dialer, 6 s until now). While bytes may be unacknowledged the connection reads TCP_INFO once a second and fails as timed out, like one that TCP gives up, once nothing was acknowledged for 6 s after the last transmission. A receiver that reads nothing acknowledges, so it keeps its connection. Where TCP_INFO can't be read, a user timeout of 10 s is set. A request that can't be repeated gains nothing from an earlier end; one that can is moved.

Evidence: before, TestOptionsAllowSilence and TestSilentPeer fail as their entries in KNOWN-RED.txt say (19 of 40 connections in TestSilentPeer), and TestEndpointReadsBodyLate of io/origin and io/endpoint after 3.0 s and 6.4 s. Now all four pass; one trial of io/endpoint with a pause of 25 s instead of 8 s passes as well.

No library in use sets a user timeout by itself: of the sources of all packages that this module builds, only io/tcp names the option (net/http, net/rpc, crypto/tls and the listeners leave Go's keep-alive of 15 s, 15 s and 9 probes).

--- a/io/tcp/silence_test.go
+++ b/io/tcp/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,6 +233,7 @@
 // TestSilentPeer guards against a connection that is closed while its peer, which is sound,
 // acknowledges nothing for a moment, be the connection kept or in use.
 func TestSilentPeer(t *testing.T) {
+	t.Parallel()
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for name, dial := range map[string]tcp.Dial{
@@ -257,6 +260,58 @@
 	}
 }
 
+// TestDeadPeer guards against a connection that stays open although its peer is gone.
+func TestDeadPeer(t *testing.T) {
+	t.Parallel()
+	const limit = 10 * time.Second
+	cases := map[string]func(near, far net.Conn) error{
+		"kept": func(near, far net.Conn) error {
+			mute(t, far)
+			_, err := near.Read(make([]byte, 1))
+			return err
+		},
+		"bytes sent": func(near, far net.Conn) error {
+			mute(t, far)
+			if _, err := near.Write([]byte("a")); err != nil {
+				return err
+			}
+			_, err := near.Read(make([]byte, 1))
+			return err
+		},
+		"window closed": func(near, far net.Conn) error {
+			time.AfterFunc(time.Second, func() { mute(t, far) })
+			for {
+				if _, err := near.Write(make([]byte, 1<<20)); err != nil {
+					return err
+				}
+			}
+		},
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for dialer, dial := range map[string]tcp.Dial{
+		"dialer":         tcp.Dialer().DialContext,
+		"patient dialer": tcp.PatientDialer().DialContext,
+	} {
+		for name, wait := range cases {
+			wg.Go(func() {
+				near, far := connect(t, dial)
+				defer func() { _ = far.Close() }()
+				defer func() { _ = near.Close() }()
+				began := time.Now()
+				err := wait(near, far)
+				var timeout net.Error
+				if took := time.Since(began); !errors.As(err, &timeout) || !timeout.Timeout() || took > limit {
+					t.Errorf("%s, %s: after %v: %v", dialer, name, took, err)
+				}
+				if _, err := near.Read(make([]byte, 1)); err == nil {
+					t.Errorf("%s, %s: read after the end", dialer, name)
+				}
+			})
+		}
+	}
+}
+
 // connect makes a connection and returns both ends.
 func connect(t *testing.T, dial tcp.Dial) (near, far net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -326,7 +381,7 @@
 }
 
 func control(t *testing.T, c net.Conn, f func(fd int) error) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := c.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Error(err)
 		return
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -1,9 +1,14 @@
-// Package tcp provides dialers whose connections fail early when the peer stops
-// responding.
+// Package tcp provides dialers whose connections end once the peer is gone, but not while
+// a sound peer is silent for a moment or reads nothing.
 //
 // An open connection can stop working permanently while new ones work, and a
 // lost SYN is retransmitted only after a second. The timeouts are therefore
 // short, both for dialing and for established connections.
+//
+// Keep-alive probes find a peer that is gone while no bytes are unacknowledged, and a watch
+// in this package the others. TCP_USER_TIMEOUT is not used for either: it replaces the count of
+// the probes, cuts the last retransmission timeout short, and covers the time in which the
+// peer's receive window is closed.
 package tcp
 
 import (
@@ -21,18 +26,23 @@
 	// than the retransmission of a lost SYN.
 	DialTimeout = 400 * time.Millisecond
 
-	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed.
-	userTimeout = 2500 * time.Millisecond
+	// soundSilence is how long a sound peer may acknowledge nothing.
+	soundSilence = 2 * time.Second
+
+	// unackedTimeout is how long sent bytes may stay without any acknowledgement. Each
+	// retransmission timeout is twice the last one, so that the first retransmission after
+	// a silence can follow as late as at three times its length.
+	unackedTimeout = 3 * soundSilence
 
-	// patientUserTimeout replaces userTimeout where a late answer is worth waiting for.
-	patientUserTimeout = 6 * time.Second
+	// keepAliveIdle, keepAliveInterval and keepAliveCount end an idle connection five seconds
+	// after the last sign of life of the peer, patientKeepAliveCount two seconds later.
+	keepAliveIdle         = time.Second
+	keepAliveInterval     = time.Second
+	keepAliveCount        = 4
+	patientKeepAliveCount = 6
 
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an idle
-	// connection whose peer stopped responding within about three seconds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	// fallbackUserTimeout is the TCP_USER_TIMEOUT of a connection that can't be watched.
+	fallbackUserTimeout = 10 * time.Second
 )
 
 // Dial makes a connection to an address, as net.Dialer.DialContext does.
@@ -88,41 +98,80 @@
 	err  error
 }
 
-// Dialer returns a dialer with these timeouts.
-func Dialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: setUserTimeout(userTimeout),
-	}
+// WatchedDialer makes connections that are watched for bytes without acknowledgement.
+// Create it with Dialer or PatientDialer.
+type WatchedDialer struct {
+	net.Dialer
+
+	// readInfo reads the state of a connection.
+	readInfo readInfo
+}
+
+// Dialer returns a dialer with the timeouts of this package.
+func Dialer() *WatchedDialer {
+	return newDialer(keepAliveCount, readTCPInfo)
 }
 
 // PatientDialer returns a dialer whose connections survive a busy link. The time to
 // make a connection is limited by the context alone.
-func PatientDialer() *net.Dialer {
-	d := Dialer()
+func PatientDialer() *WatchedDialer {
+	d := newDialer(patientKeepAliveCount, readTCPInfo)
 	d.Timeout = 0
-	d.Control = setUserTimeout(patientUserTimeout)
 	return d
 }
 
-// setUserTimeout returns a function that sets TCP_USER_TIMEOUT, the limit for
-// unacknowledged bytes. It applies to unanswered keep-alive probes as well.
-func setUserTimeout(limit time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		if cerr := c.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
-		}); cerr != nil {
-			return cerr
-		}
-		return err
+func newDialer(probes int, read readInfo) *WatchedDialer {
+	return &WatchedDialer{
+		Dialer: net.Dialer{
+			Timeout: DialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveIdle,
+				Interval: keepAliveInterval,
+				Count:    probes,
+			},
+			Control: func(_, _ string, raw syscall.RawConn) error {
+				if _, err := read(raw); err == nil {
+					return nil
+				}
+				return setUserTimeout(raw, fallbackUserTimeout)
+			},
+		},
+		readInfo: read,
+	}
+}
+
+// DialContext is like net.Dialer.DialContext.
+func (d *WatchedDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	nc, err := d.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tc, ok := nc.(*net.TCPConn)
+	if !ok {
+		return nc, nil
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		_ = tc.Close()
+		return nil, err
+	}
+	if _, err := d.readInfo(raw); err != nil {
+		// The fallback is in force.
+		return tc, nil
+	}
+	return newWatchedConn(tc, raw, d.readInfo), nil
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT.
+func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
+	var err error
+	if cerr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	}); cerr != nil {
+		return cerr
 	}
+	return err
 }
 
 // Closed reports whether the peer has closed a connection and all that it sent was read.
--- a/io/tunnel/dial.go
+++ b/io/tunnel/dial.go
@@ -31,8 +31,8 @@
 )
 
 // Dial makes a connection to an endpoint through the peer whose Server listens on via. The
-// timeout limits the whole dial; zero selects the default. The connection is a
-// *net.TCPConn.
+// timeout limits the whole dial; zero selects the default. The connection is one of a
+// tcp.WatchedDialer.
 func Dial(ctx context.Context, via, to netip.AddrPort, timeout time.Duration) (net.Conn, error) {
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -87,7 +87,7 @@
 }
 
 // WithDial replaces the function that makes connections to endpoints. They must be
-// *net.TCPConn.
+// TCP connections of package net or of a tcp.WatchedDialer.
 func WithDial(dial tcp.Dial) Option {
 	return func(s *Server) {
 		s.dial = dial
@@ -291,7 +291,7 @@
 	if err != nil {
 		return nil, err
 	}
-	far, ok := conn.(*net.TCPConn)
+	far, ok := tcp.Unwatched(conn)
 	if !ok {
 		_ = conn.Close()
 		return nil, errNotTCP
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -19,6 +19,8 @@
 	"go.uber.org/goleak"
 	"golang.org/x/sys/unix"
 	"pgregory.net/rapid"
+
+	"waxwingwall/io/tcp"
 )
 
 const (
@@ -132,7 +134,11 @@
 	if err := c.SetDeadline(time.Now().Add(patience)); err != nil {
 		t.Fatal(err)
 	}
-	return c.(*net.TCPConn)
+	conn, ok := tcp.Unwatched(c)
+	if !ok {
+		t.Fatalf("not a TCP connection: %T", c)
+	}
+	return conn
 }
 
 // waitOpen waits until a number of tunnels are open.
