io/origin: measure each further wait of TestKeepWaiting from its begin

The test failed once: "idle for 18.3 ms when asked for time 1" within the head. The time idle counts from the last bytes, and the part of the head had arrived 1.7 ms after the wait had begun, which is allowed; the test expected 20 ms from the begin of the wait.

It now measures each wait over TCP from the moment it begins, and the time idle where nothing can arrive meanwhile. TestKeepWaitingTimes, new, plays the same cases in modelled time, where the moment of each question and the time idle must be exact, also if bytes arrive within the wait; together they are stricter than the bounds before.

--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -271,21 +272,29 @@
 	}
 }
 
+// keepWait is each wait in the tests of KeepWaiting.
+const keepWait = 20 * time.Millisecond
+
+// keepWaitingCases are the parts of an answer that arrive at first, how often a wait is
+// prolonged before it is given up, and the error. The rest of the answer follows when it is
+// asked for the third time.
+var keepWaitingCases = map[string]struct {
+	script string
+	waits  int
+	want   error
+}{
+	"head, prolonged":   {"", 3, nil},
+	"head, given up":    {"", 1, ErrIdleTimeout},
+	"within the head":   {"HTTP/1.1 200 OK\r\nId: 1\r\n", 3, nil},
+	"body, prolonged":   {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 3, nil},
+	"body, not at all":  {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 0, ErrIdleTimeout},
+	"another body wait": {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 2, ErrIdleTimeout},
+}
+
 // TestKeepWaiting: a wait for the head or the body that was too long is prolonged as
-// long as KeepWaiting says so.
+// long as KeepWaiting says so. Each further wait takes its full time from the moment it begins.
 func TestKeepWaiting(t *testing.T) {
-	for name, test := range map[string]struct {
-		script string
-		waits  int
-		want   error
-	}{
-		"head, prolonged":   {"", 3, nil},
-		"head, given up":    {"", 1, ErrIdleTimeout},
-		"within the head":   {"HTTP/1.1 200 OK\r\nId: 1\r\n", 3, nil},
-		"body, prolonged":   {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 3, nil},
-		"body, not at all":  {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 0, ErrIdleTimeout},
-		"another body wait": {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\no", 2, ErrIdleTimeout},
-	} {
+	for name, test := range keepWaitingCases {
 		t.Run(name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -311,11 +320,15 @@
 			p, stop := New()
 			defer stop()
 			r := (&endpoint{addr: l.Addr().(*net.TCPAddr).AddrPort()}).request("1")
-			r.HeaderTimeout = 20 * time.Millisecond
-			r.IdleTimeout = 20 * time.Millisecond
+			r.HeaderTimeout = keepWait
+			r.IdleTimeout = keepWait
+			began := time.Now()
 			r.KeepWaiting = func(idle time.Duration) time.Duration {
 				asked++
-				if idle < time.Duration(asked)*20*time.Millisecond {
+				if took := time.Since(began); took < keepWait {
+					t.Errorf("asked for time %d after a wait of %v", asked, took)
+				}
+				if test.script == "" && idle < time.Duration(asked)*keepWait {
 					t.Errorf("idle for %v when asked for time %d", idle, asked)
 				}
 				if asked == 3 {
@@ -324,7 +337,8 @@
 				if asked > test.waits {
 					return 0
 				}
-				return 20 * time.Millisecond
+				began = time.Now()
+				return keepWait
 			}
 			text, err := readBody(p, r)
 			if !errors.Is(err, test.want) || err == nil && text != "one" {
@@ -334,6 +348,92 @@
 	}
 }
 
+// TestKeepWaitingTimes guards against a wait that KeepWaiting is asked about early or late, or
+// with a time that is not counted from the last bytes, also if these arrive within the wait.
+// It runs in modelled time, so that all times are exact.
+func TestKeepWaitingTimes(t *testing.T) {
+	const arrival = 5 * time.Millisecond
+	for name, test := range keepWaitingCases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer near.Close()
+				defer far.Close()
+				goOn := make(chan struct{})
+				proceed := sync.OnceFunc(func() { close(goOn) })
+				defer proceed()
+				lastBytes := time.Now()
+				next := lastBytes.Add(keepWait)
+				go func() {
+					if _, err := http.ReadRequest(bufio.NewReader(far)); err != nil {
+						return
+					}
+					if test.script != "" {
+						time.Sleep(arrival)
+						_, _ = io.WriteString(far, test.script)
+					}
+					<-goOn
+					_, _ = io.WriteString(far, strings.TrimPrefix(answer("1", "one"), test.script))
+				}()
+				if test.script != "" {
+					lastBytes = lastBytes.Add(arrival)
+				}
+				if strings.Contains(test.script, "\r\n\r\n") {
+					// The wait for the body begins with the end of the head.
+					next = lastBytes.Add(keepWait)
+				}
+				r := (&endpoint{}).request("1")
+				r.HeaderTimeout = keepWait
+				r.IdleTimeout = keepWait
+				asked := 0
+				r.KeepWaiting = func(idle time.Duration) time.Duration {
+					asked++
+					if now := time.Now(); !now.Equal(next) || idle != now.Sub(lastBytes) {
+						t.Errorf("asked for time %d %v late, idle for %v, want %v", asked, now.Sub(next), idle, now.Sub(lastBytes))
+					}
+					next = next.Add(keepWait)
+					if asked == 3 {
+						proceed()
+					}
+					if asked > test.waits {
+						return 0
+					}
+					return keepWait
+				}
+				text, err := exchange(near, r)
+				if !errors.Is(err, test.want) || err == nil && text != "one" {
+					t.Errorf("got %q, %v, want error %v", text, err, test.want)
+				}
+			})
+		})
+	}
+}
+
+// exchange sends a request on a connection and returns the body of its answer.
+func exchange(nc net.Conn, r Request) (string, error) {
+	p, stop := New()
+	defer stop()
+	c := &conn{
+		Conn: nc,
+		source: source{
+			Conn: nc,
+		},
+	}
+	c.reader = bufio.NewReader(&c.source)
+	a := &Answer{
+		pool:        p,
+		conn:        c,
+		written:     make(chan error, 1),
+		idleTimeout: r.IdleTimeout,
+		stop:        func() bool { return true },
+	}
+	if err := a.exchange(r); err != nil {
+		return "", err
+	}
+	text, err := io.ReadAll(a)
+	return string(text), err
+}
+
 // TestEventSplitter checks that the complete events come out in order, and that
 // Pending is right, however the stream is cut into pieces.
 func TestEventSplitter(t *testing.T) {
