io/service: an answer that is reset during the upload doesn't look complete

Callers could get a part of a failure as if it were all of it, and a success although its connection was reset, if the service's answer had no length and the connection was reset while the body of the call was still written. The cause is that of io/origin: the write gets the only report of the reset, and net/http then reads a plain end.

The connections of endpoint.Pool are now tcp.Conns as well. Clients of engines use them too; there a stream was never whole without its end marker.

An answer that ends in order while its request is being written was whole before and is.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -289,7 +289,7 @@
 				return nil, err
 			}
 			return &conn{
-				Conn: c,
+				Conn: tcp.NewConn(c),
 			}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
