relay: a stop waits for the requests in progress as long as its grace allows

Callers whose request was still on its way as a stop had ended all others lost their connection 1 s later, with neither an answer nor a refusal, though the grace had seconds left: the wait for the last answers was limited to 1 s, as a new connection without a request would otherwise keep it waiting for 5 s. The line answers_unfinished could not tell the two apart.

The relay now knows which connections of callers have a request. It waits for those until 0.1 s before the end of the grace, and no longer than before for the others. answers_unfinished counts the requests that are cut and those of them that were read whole; connections without a request are connections_unused.

Evidence: in TestStopWaitsForBodies (grace 5 s, the head of a request arrives 2.4 s into the stop, the end of its body 4.2 s) the caller got no answer before, and gets 503 now. TestStopEndsWithoutRequests: the stop beside an unused connection ends as before, and no longer logs answers_unfinished.

--- a/relay/control.go
+++ b/relay/control.go
@@ -174,16 +174,45 @@
 }
 
 // finishAnswers ends a graceful stop once no request of a caller is being read or answered,
-// or after lastAnswersTimeout, but before the end of its grace period. New connections are
-// refused from now on.
+// but before the end of its grace period. It waits no longer than unusedTimeout for new
+// connections without a request. Others are refused from now on.
 func (r *Relay) finishAnswers(end time.Time) {
-	ctx, cancel := context.WithTimeout(r.ctx, min(time.Until(end)-exitReserve, lastAnswersTimeout))
+	defer close(r.drained)
+	ctx, cancel := context.WithDeadline(r.ctx, end.Add(-exitReserve))
 	defer cancel()
+	unused := time.AfterFunc(unusedTimeout, func() { r.endUnused(ctx, cancel) })
+	defer unused.Stop()
 	if err := r.callers.Shutdown(ctx); err != nil {
-		r.log.WithError(err).Warning("answers_unfinished")
+		r.logUnfinished(err)
 	}
 	r.finishTunnels(end)
-	close(r.drained)
+}
+
+// logUnfinished logs the connections that are open as a graceful stop ends.
+func (r *Relay) logUnfinished(err error) {
+	busy, unused := r.callerConns.count()
+	if busy == 0 {
+		r.log.WithField("connections", unused).Info("connections_unused")
+		return
+	}
+	r.log.WithError(err).WithField("requests", busy).WithField("whole", r.wholeRequests.Load()).Warning("answers_unfinished")
+}
+
+// endUnused calls end once no connection has a request, or the context ends.
+func (r *Relay) endUnused(ctx context.Context, end func()) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		if busy, _ := r.callerConns.count(); busy == 0 {
+			end()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
 }
 
 // sendAction queues the next action of a request; the last one removes the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -59,9 +59,9 @@
 	// process itself.
 	exitReserve = 100 * time.Millisecond
 
-	// lastAnswersTimeout limits the wait for the last answers of a stop that is complete
-	// before its grace period ends. A new connection without a request counts as well.
-	lastAnswersTimeout = time.Second
+	// unusedTimeout is how long a stop that is complete before its grace period ends waits
+	// for new connections without a request.
+	unusedTimeout = time.Second
 
 	// headerTimeout limits the time to receive the header of a request, idleTimeout
 	// the time between two requests on a connection. The time to receive the body is
@@ -101,8 +101,11 @@
 	lastRequest atomic.Uint64
 	bodyBytes   atomic.Int64
 
-	// callers is the server for callers.
-	callers *http.Server
+	// callers is the server for callers, callerConns are its connections. wholeRequests
+	// counts the requests that were read and have no whole answer yet.
+	callers       *http.Server
+	callerConns   callerConns
+	wholeRequests atomic.Int64
 
 	inbox      chan job
 	ctx        context.Context
@@ -171,6 +174,9 @@
 		log:      logrus.NewEntry(logrus.StandardLogger()),
 		codec:    platform.Headers{},
 		requests: map[uint64]*proxyRequest{},
+		callerConns: callerConns{
+			states: map[net.Conn]http.ConnState{},
+		},
 		link: link{
 			limiter: intake.New(s.LinkMbps),
 		},
@@ -294,7 +300,11 @@
 		if !s.addr.IsValid() {
 			continue
 		}
-		server, err := r.listen(s.addr, s.handler)
+		var observe func(net.Conn, http.ConnState)
+		if s.addr == r.settings.Callers {
+			observe = r.callerConns.observe
+		}
+		server, err := r.listen(s.addr, s.handler, observe)
 		if err != nil {
 			return err
 		}
@@ -308,8 +318,9 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// listen starts an HTTP server at an address.
-func (r *Relay) listen(addr netip.AddrPort, h http.Handler) (*http.Server, error) {
+// listen starts an HTTP server at an address. observe is told of the states of its
+// connections; it may be nil.
+func (r *Relay) listen(addr netip.AddrPort, h http.Handler, observe func(net.Conn, http.ConnState)) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -319,6 +330,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          discardLogger,
+		ConnState:         observe,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
--- a/relay/request.go
+++ b/relay/request.go
@@ -119,6 +119,8 @@
 		return
 	}
 	defer r.bodyBytes.Add(-int64(len(p.body)))
+	r.wholeRequests.Add(1)
+	defer r.wholeRequests.Add(-1)
 	r.metrics.openRequests.Add(context.Background(), 1)
 	defer r.metrics.openRequests.Add(context.Background(), -1)
 	r.post(job{
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"bufio"
+	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -71,3 +74,87 @@
 		t.Errorf("by status: %v, want outcomes and refusals", statuses)
 	}
 }
+
+// setBodyTime brings a configuration into force whose callers may take a time for a body.
+func (f *fleet) setBodyTime(version int64, d time.Duration) {
+	f.t.Helper()
+	var c map[string]any
+	if err := json.Unmarshal(standin.Configuration(version, testAccount), &c); err != nil {
+		f.t.Fatal(err)
+	}
+	c["Limits"].(map[string]any)["HeaderTimeoutMs"] = d.Milliseconds()
+	text, err := json.Marshal(c)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.store.Put("op", "config", text)
+	f.waitUntil("the configuration is in force", func() bool { return f.relays[0].sharedState.Load().limits.HeaderTime == d })
+}
+
+// TestStopWaitsForBodies guards against a request that a stop cuts although its grace period
+// lasts: the head arrives while requests are taken, the body after the last other request
+// has ended. It gets a refusal. A connection without a request does not delay the stop.
+func TestStopWaitsForBodies(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	n := f.relays[0]
+	f.setBodyTime(2, 4*time.Second)
+	unused, err := net.Dial("tcp", n.settings.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	began := time.Now()
+	n.Drain()
+	stopped := make(chan time.Duration, 1)
+	go func() {
+		<-n.Drained()
+		n.stop()
+		stopped <- time.Since(began)
+	}()
+	time.Sleep(2400 * time.Millisecond)
+	c, err := net.Dial("tcp", n.settings.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /order/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 6\r\n")
+	h := http.Header{}
+	standin.SetHeaders(h, "late", "key", 0, 0)
+	_ = h.Write(c)
+	fmt.Fprint(c, "\r\nabc")
+	time.Sleep(time.Until(began.Add(4200 * time.Millisecond)))
+	fmt.Fprint(c, "def")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, want 503", resp.StatusCode)
+	}
+	if took := <-stopped; took >= n.settings.Grace {
+		t.Errorf("the stop took %v of %v", took, n.settings.Grace)
+	}
+}
+
+// TestStopEndsWithoutRequests guards against a stop that a connection without a request keeps
+// waiting.
+func TestStopEndsWithoutRequests(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	n := f.relays[0]
+	n.Drain()
+	time.Sleep(2 * time.Second)
+	unused, err := net.Dial("tcp", n.settings.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	select {
+	case <-n.Drained():
+	case <-time.After(2 * time.Second):
+		t.Error("not drained")
+	}
+	if log := n.log.String(); strings.Contains(log, "answers_unfinished") || !strings.Contains(log, "connections_unused") {
+		t.Errorf("the log names unfinished answers, or no unused connection: %s", log)
+	}
+}
