relay: do not end the answer of a caller that counts as gone

A caller that closes its half of the connection after its request counts as gone, as the server cannot tell it from one that has left. Such a caller saw an answer that looks whole and is not: an empty one with status 200, or its stream so far with a regular end.

Cause: after Finished the handler returned, and net/http ends an answer then, or sends an empty one. The connection is now closed instead, unless the caller has the whole answer.

Evidence: TestHalfClosedCaller failed before in both cases (status 200 and ""; status 200 and three of six events).

--- a/relay/gone_test.go
+++ b/relay/gone_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -60,3 +62,39 @@
 		t.Errorf("%d of %d requests reached an endpoint", sent, callers)
 	}
 }
+
+// TestHalfClosedCaller guards against an answer that looks whole and is not: a caller that
+// closes its half of the connection counts as gone, and can still read.
+func TestHalfClosedCaller(t *testing.T) {
+	for route, wait := range map[string]time.Duration{"order": 0, "draft": 3 * eventDelay} {
+		t.Run(route, func(t *testing.T) {
+			f := newFleet(t, 1, testAccount)
+			f.slowEvents()
+			f.ledgers[0].Silence(time.Second)
+			f.ledgers[1].Silence(time.Second)
+			c, err := net.Dial("tcp", f.relays[0].settings.Callers.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "POST /%s/ HTTP/1.1\r\nHost: a.example\r\n", route)
+			h := http.Header{}
+			standin.SetHeaders(h, "half", "key", 1_000, 50)
+			_ = h.Write(c)
+			fmt.Fprint(c, "Content-Length: 1\r\n\r\nx")
+			f.waitUntil("the request has run", func() bool { return len(f.runs("half")) > 0 })
+			time.Sleep(wait)
+			if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if text, err := io.ReadAll(resp.Body); err == nil && string(text) != streamText(6) {
+				t.Errorf("status %d with %q looks whole", resp.StatusCode, text)
+			}
+		})
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -86,6 +86,9 @@
 	events    origin.EventSplitter
 	committed bool
 	notStream bool
+
+	// whole is set once a whole answer was written to the caller.
+	whole bool
 }
 
 // bufferedAnswer is a complete answer kept in memory.
@@ -194,15 +197,25 @@
 	case edge.Abort:
 		p.abort()
 	case edge.Finished:
-		code := "served"
-		if p.callerLeft {
-			code = "caller_left"
-		}
-		p.requestEnded(code)
+		p.finish()
 	}
 	return true
 }
 
+// finish ends a request whose caller has the whole answer or has disconnected. In the latter
+// case the connection is closed, as the caller may have closed only its own half, and what
+// the server would end looks whole.
+func (p *proxyRequest) finish() {
+	code := "served"
+	if p.callerLeft {
+		code = "caller_left"
+	}
+	p.requestEnded(code)
+	if p.callerLeft && !p.whole {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // abort closes the caller's connection, so that its answer does not look complete. It
 // does not return.
 func (p *proxyRequest) abort() {
@@ -253,6 +266,7 @@
 	p.bufferedAnswer = nil
 	var times attemptTimes
 	outcome := p.exchange(ctx, d, times.record)
+	p.whole = outcome.Result == edge.Complete
 	if (p.r.Context().Err() != nil || p.callerGone) && outcome.Result != edge.Complete {
 		// A caller may close its connection as soon as it has the complete answer.
 		p.reportCallerLeft()
