core/edge, relay: count the time of a request from its head

Callers whose request took long to arrive got their answer, or the outcome, too late: the time of the caller and of the route ran from the moment at which the control goroutine took the request, after its body and the queue of events.

Arrived now carries when the head arrived.

Evidence: in TestTimeRunsFromHead (caller time 2 s, body complete after 1.5 s, silent endpoints) there was no answer 2.5 s after the head before; 504 comes in time now.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -19,6 +19,9 @@
 		version: e.config.version,
 		tried:   map[waxwingwall.Endpoint]bool{},
 	}
+	if !ev.At.IsZero() && ev.At.Before(e.now) {
+		r.arrived = ev.At
+	}
 	e.requests[r.id] = r
 	if p := e.admit(r); p != nil {
 		e.refuse(r, p)
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -17,6 +17,10 @@
 
 	// Call is the metadata of the request.
 	Call waxwingwall.Call
+
+	// At is when the header arrived, from which the time of the caller and the route runs;
+	// zero stands for the time of the event.
+	At time.Time
 }
 
 // Result is the result of an attempt.
--- a/relay/request.go
+++ b/relay/request.go
@@ -132,6 +132,7 @@
 			r.step(now, edge.Arrived{
 				Request: p.id,
 				Call:    p.call,
+				At:      p.arrived,
 			})
 		},
 	})
