io/peer: end a call in time while its message waits to be written

Other routers heard nothing more from a router whose connection to them was dead or whose peer read nothing, if a message filled the connection's buffers: net/rpc writes within Go, before the call's limit is looked at. The link's goroutine, and all calls behind it, waited until TCP gave up the retransmissions (tcp_retries2), or for good if the peer lives.

The write now runs beside the wait. When the limit passes, the connection is closed as before, which ends the write.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -170,9 +170,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	call := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	// Go waits while the buffers of the connection are full, and the context doesn't end it.
+	go conn.Go(serviceName+"."+method, args, reply, done)
 	select {
-	case <-call.Done:
+	case call := <-done:
 		return c.callError(conn, call.Error)
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
