io/origin: guard requests against CloseIdle for a silent endpoint

A review of what a silence may close, for callers whose requests share an endpoint with a silent attempt; nothing was found to end a request, so the test passes on the code before.

- relay: the one user of origin.ErrIdleTimeout beside the classification of a failed attempt calls Pool.CloseIdle.
The pool holds idle connections only; one with a request on it was taken out under the same lock.
A silence thus costs new connections.
- platform (watch) and io/platform call net/http's CloseIdleConnections, for idle ones too.
- io/endpoint Suspect makes later calls use new connections, and closes none.
- io/peer closes a connection on which a call timed out, with all calls on it.
A read of an answer is repeated then (router, readAgain and failOver), a Submit ends as unknown.
Peers are routers, not endpoints.

--- a/io/origin/origin_test.go
+++ b/io/origin/origin_test.go
@@ -190,6 +190,38 @@
 	}
 }
 
+// TestCloseIdleLeavesRequests guards against requests that break off because another one found
+// their endpoint silent: CloseIdle leaves connections with a request on them, before the answer
+// and within it.
+func TestCloseIdleLeavesRequests(t *testing.T) {
+	e := newEndpoint(t)
+	p, stop := New()
+	defer stop()
+	result := make(chan error, 1)
+	go func() {
+		got, err := readBody(p, e.request("1"))
+		if err == nil && got != "one" {
+			t.Errorf("got %q", got)
+		}
+		result <- err
+	}()
+	<-e.seen
+	p.CloseIdle(e.addr)
+	head, body, _ := strings.Cut(answer("1", "one"), "one")
+	c := <-e.conns
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	p.CloseIdle(e.addr)
+	if _, err := io.WriteString(c, "one"+body); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-result; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestTruncatedAnswer checks that reading a truncated answer fails.
 func TestTruncatedAnswer(t *testing.T) {
 	for name, script := range map[string]string{
