core/edge: new settings do not lengthen a stop that has begun

A SIGHUP in the middle of a graceful stop could lengthen its grace period. The process may be killed at the end of the first one, with the requests that are in flight: their callers would get no outcome. A stop keeps the shorter of both.

Evidence: TestStopKeepsItsGrace failed before (nothing cut 4.7 s into a stop that began with 5 s and was told of 20 s). No run of a whole process shows it.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -388,8 +388,12 @@
 	return e.config.configuration.Limits
 }
 
-// SetBounds replaces the operators' bounds.
+// SetBounds replaces the operators' bounds. A stop that has begun does not get more time, as
+// the process may be killed at the end of its grace period.
 func (e *Edge) SetBounds(b Bounds) {
+	if e.Draining() {
+		b.Grace = min(b.Grace, e.bounds.Grace)
+	}
 	b.EndpointDrain = cmp.Or(b.EndpointDrain, defaultEndpointDrain)
 	e.bounds = b
 }
--- a/core/edge/stop_test.go
+++ b/core/edge/stop_test.go
@@ -113,3 +113,24 @@
 		}
 	}
 }
+
+// TestStopKeepsItsGrace guards against requests that get no outcome because new settings
+// lengthen the grace period of a stop that has begun: the process may be killed at the end of
+// the first one.
+func TestStopKeepsItsGrace(t *testing.T) {
+	h := newHarness(t)
+	bounds := h.edge.bounds
+	bounds.Grace = 5 * time.Second
+	h.edge.SetBounds(bounds)
+	_, out := h.arrive(call("order"))
+	d := only[Dispatch](h, out)
+	h.edge.requests[d.Request].deadline = h.now.Add(20 * time.Second)
+	h.edge.Drain(h.now)
+	h.advance(time.Second)
+	longer := bounds
+	longer.Grace = 20 * time.Second
+	h.edge.SetBounds(longer)
+	if out := h.advance(bounds.Grace - time.Second - drainExit); !has[CutAttempt](out) {
+		t.Error("the request is not cut before the end of the first grace period")
+	}
+}
