relay: an answer that is cut doesn't look complete over HTTP/1.0

A caller over HTTP/1.0 got a stream, or a long answer, of which the rest was missing, with an orderly end of its connection, which is all that tells such a caller that an answer without a length is whole. net/http closes the connection in order also where a handler aborts.

While such an answer is forwarded, the end of the caller's connection is a reset, whatever ends it (an abort, a stop or the end of the process). That is undone once the answer was written to its end and the control goroutine has finished the request. Other answers mark their end themselves and are as before.

--- a/relay/request.go
+++ b/relay/request.go
@@ -89,6 +89,11 @@
 
 	// whole is set once a whole answer was written to the caller.
 	whole bool
+
+	// written is set once an answer of unknown or great length was written to its end. resets
+	// is set while the end of the caller's connection is a reset.
+	written bool
+	resets  bool
 }
 
 // bufferedAnswer is a complete answer kept in memory.
@@ -207,6 +212,7 @@
 // case the connection is closed, as the caller may have closed only its own half, and what
 // the server would end looks whole.
 func (p *proxyRequest) finish() {
+	p.endInOrder()
 	code := "served"
 	if p.callerLeft {
 		code = "caller_left"
@@ -534,7 +540,7 @@
 			return outcome
 		}
 		if errors.Is(err, io.EOF) {
-			p.extendWrite()
+			p.written = p.extendWrite()
 			return outcome
 		}
 		if err != nil {
@@ -607,7 +613,7 @@
 			}
 		case errors.Is(err, io.EOF):
 			p.commit(answer, -1)
-			p.extendWrite()
+			p.written = p.extendWrite()
 			return edge.AttemptEnded{
 				Status: answer.Status,
 			}
@@ -625,6 +631,7 @@
 		return
 	}
 	p.committed = true
+	p.resetUnlessWhole(length)
 	p.relay.metrics.answerStarted(time.Since(p.arrived))
 	copyHeader(p.w.Header(), answer.Header)
 	if length >= 0 {
