platform, relay: read what endpoints say of the declines that they can stand

An endpoint may say in all its answers that it is brittle: with more than N requests declined in a second for want of room it falls over. Nothing read the header. A value that is no plain number is ignored and logged, bounded in length.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -100,6 +100,9 @@
 	// Leaving is set if the endpoint says that it leaves.
 	Leaving bool
 
+	// Brittle is what the endpoint says of the declines that it can stand.
+	Brittle waxwingwall.Brittleness
+
 	// RetryAfter is the time for which the endpoint, which declined the request, asks
 	// this router to send it nothing; zero if it doesn't.
 	RetryAfter time.Duration
--- a/proxy.go
+++ b/proxy.go
@@ -271,6 +271,11 @@
 	Limit        RateLimit
 	InvalidLimit string
 
+	// Brittle is what the endpoint says of the declines that it can stand; InvalidBrittle
+	// is the text if it can't be read, empty otherwise.
+	Brittle        Brittleness
+	InvalidBrittle string
+
 	// Leaving is set if the endpoint says that it leaves and takes nothing new;
 	// InvalidLeaving is the text if it can't be read, empty otherwise.
 	Leaving        bool
@@ -312,6 +317,32 @@
 	}, true
 }
 
+// Brittleness is how many requests an endpoint can decline in a second for want of room
+// before it falls over. The zero value is an endpoint that isn't brittle.
+type Brittleness struct {
+	// Named is set if the endpoint is brittle.
+	Named bool
+
+	// Declines is the number of requests, not negative.
+	Declines int
+}
+
+// maxDeclines is the highest number that ParseBrittleness accepts.
+const maxDeclines = 1e6
+
+// ParseBrittleness parses a decimal number of requests. It reports false for any other
+// text, and for a number that no endpoint can mean.
+func ParseBrittleness(text string) (Brittleness, bool) {
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || n > maxDeclines {
+		return Brittleness{}, false
+	}
+	return Brittleness{
+		Named:    true,
+		Declines: int(n),
+	}, true
+}
+
 // MaxRetryAfter limits how long an endpoint can make a router wait.
 const MaxRetryAfter = 10 * time.Minute
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -418,16 +418,20 @@
 	if reply.InvalidLeaving != "" {
 		log.WithField("leaving", waxwingwall.Excerpt(reply.InvalidLeaving)).Warning("leaving_unreadable")
 	}
+	if reply.InvalidBrittle != "" {
+		log.WithField("brittle", waxwingwall.Excerpt(reply.InvalidBrittle)).Warning("brittle_unreadable")
+	}
 	if reply.InvalidRetryAfter != "" {
 		log.WithField("retry_after", waxwingwall.Excerpt(reply.InvalidRetryAfter)).Warning("retry_after_unreadable")
 	}
-	if !reply.Leaving && reply.RetryAfter == 0 {
+	if !reply.Leaving && reply.RetryAfter == 0 && !reply.Brittle.Named {
 		return
 	}
 	p.relay.postEvent(edge.NoticeReceived{
 		Endpoint:   d.Params.Endpoint,
 		Born:       d.Born,
 		Leaving:    reply.Leaving,
+		Brittle:    reply.Brittle,
 		RetryAfter: reply.RetryAfter,
 	})
 }
