core/brittle, core/edge: lease the slots of brittle endpoints over all routers

What callers saw: endpoints that say that they can decline only N requests in a second fall over again and again, and requests with them (LIMIT).

Cause: each router places requests by its own load and by reports of peers that are later than a slot lasts, and fills the queue beyond the slots. Nothing decided by what the answers say. The class is that of the limits that endpoints name: a bound of the whole fleet that each router alone cannot keep.

Fix: while a service is brittle, a request is sent only with the lease of one of its endpoint's slots, granted by a router that all choose alike for that endpoint. Routers repeat what they have in flight, so a new owner learns before it grants. After a decline the room is what was in flight, and what may still be declined stays below N.

--- a/core/edge/brittle_test.go
+++ b/core/edge/brittle_test.go
@@ -8,6 +8,7 @@
 
 	"waxwingwall"
 	"waxwingwall/core/effect"
+	"waxwingwall/core/limit"
 )
 
 const (
@@ -389,3 +390,56 @@
 		}
 	})
 }
+
+// TestBrittleAndLimited guards against a request to an endpoint that names a limit and is
+// brittle which is sent with the permit alone, and against a permit or a slot that is kept
+// when the request ends before it is sent.
+func TestBrittleAndLimited(t *testing.T) {
+	h := newBornHarness(t)
+	h.edge.nodes.registered = true
+	h.edge.nodes.loaded = true
+	h.edge.limiterStale = true
+	for _, r := range bornLedgers(2, 1) {
+		h.edge.limits.Observe(h.now, limit.Observation{
+			Endpoint: r.Endpoint,
+			Pool:     r.Service,
+			Born:     r.Born,
+			Limit:    waxwingwall.RateLimit{Named: true, Rate: 100},
+		})
+		h.step(NoticeReceived{Endpoint: r.Endpoint, Born: r.Born, Brittle: waxwingwall.Brittleness{Named: true, Declines: 1}})
+	}
+	h.advance(2 * time.Second)
+	sent := map[waxwingwall.Endpoint][]Dispatch{}
+	for range 60 {
+		_, out := h.arrive(call("order"))
+		for _, a := range out {
+			if d, ok := a.(Dispatch); ok {
+				sent[d.Params.Endpoint] = append(sent[d.Params.Endpoint], d)
+			}
+		}
+	}
+	for _, r := range bornLedgers(2, 1) {
+		if got := len(sent[r.Endpoint]); got != r.Slots {
+			t.Fatalf("%s has %d slots and got %d", r.Endpoint, r.Slots, got)
+		}
+	}
+	for _, a := range h.advance(5 * time.Second) {
+		if d, ok := a.(Dispatch); ok {
+			t.Errorf("a request was sent to %s, which has no room", d.Params.Endpoint)
+		}
+	}
+	if len(h.edge.slotAsks) > 0 || len(h.edge.permits) > 0 {
+		t.Errorf("%d asks for slots and %d for permits are left", len(h.edge.slotAsks), len(h.edge.permits))
+	}
+	for _, all := range sent {
+		h.endAttempt(all[0], AttemptEnded{Status: http.StatusOK, Committed: true})
+	}
+	if got := h.reached("order"); got["ledger-0"] == 0 || got["ledger-1"] == 0 {
+		t.Errorf("reached %v when each has a slot", got)
+	}
+	for _, row := range h.edge.guard.Rows() {
+		if slots := h.edge.endpoints.rows[row.Endpoint].replica.Slots; row.InFlight != slots-1 {
+			t.Errorf("%s has %d slots leased, %d in use", row.Endpoint, row.InFlight, slots-1)
+		}
+	}
+}
--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/brittle"
 	"waxwingwall/core/escrow"
 	"waxwingwall/core/limit"
 	"waxwingwall/core/member"
@@ -56,6 +57,14 @@
 	Waiting int     `json:"waiting"`
 }
 
+// BrittleState is the state of one service with brittle endpoints in a dump.
+type BrittleState struct {
+	// Service is the service, Declines the number of requests that each endpoint can
+	// decline in a second.
+	Service  waxwingwall.Model `json:"service"`
+	Declines int               `json:"declines"`
+}
+
 // State is a dump of an Edge.
 type State struct {
 	// Self is the incarnation; Registered is set once its row is written.
@@ -77,6 +86,11 @@
 	// Limits are those of the services with endpoints that named any.
 	Limits []LimitState `json:"limits"`
 
+	// Brittle are the services with brittle endpoints; Slots are the endpoints of these
+	// whose slots this router leases.
+	Brittle []BrittleState `json:"brittle"`
+	Slots   []brittle.Row  `json:"slots"`
+
 	// Peers are the other routers.
 	Peers []member.Peer `json:"peers"`
 
@@ -97,8 +111,15 @@
 		Requests:   len(e.requests),
 		Peers:      slices.Clone(e.view.Peers(now)),
 		Draining:   !e.drainStart.IsZero(),
+		Slots:      e.guard.Rows(),
 	}
 	for _, service := range e.config.configuration.Services {
+		if declines, brittle := e.guard.Declines(service.Name); brittle {
+			s.Brittle = append(s.Brittle, BrittleState{
+				Service:  service.Name,
+				Declines: declines,
+			})
+		}
 		for _, row := range e.endpoints.byService[service.Name] {
 			s.Endpoints = append(s.Endpoints, EndpointState{
 				Replica:      row.replica,
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -27,7 +27,8 @@
 // if it is idempotent.
 //
 // An endpoint that names a limit gets a request only with a permit (package limit). A
-// request waits for one no longer than its objective allows.
+// request waits for one no longer than its objective allows. An endpoint of a service that
+// is brittle gets a request only with the lease of a slot (package brittle).
 //
 // # Routers
 //
@@ -47,6 +48,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/brittle"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
 	"waxwingwall/core/limit"
@@ -151,7 +153,13 @@
 	// permits are the requests that wait for a permit, by the ID of their ask.
 	permits map[uint64]*request
 
-	// limiterStale is set if the routers that the limiter knows are out of date.
+	// guard keeps the requests at brittle endpoints within their slots.
+	guard *brittle.Guard
+
+	// slotAsks are the requests that wait for a slot, by the ID of their ask.
+	slotAsks map[uint64]*request
+
+	// limiterStale is set if the routers that limits and guard know are out of date.
 	limiterStale bool
 
 	// durations are the times of requests by the name of their route.
@@ -180,6 +188,7 @@
 		requests:     map[uint64]*request{},
 		retryBudgets: map[waxwingwall.Model]*retryBudget{},
 		permits:      map[uint64]*request{},
+		slotAsks:     map[uint64]*request{},
 		durations:    map[string]*duration{},
 		crashes: crashTracker{
 			table: quarantine.Table{
@@ -200,6 +209,7 @@
 	e.versions.init()
 	e.reach.init()
 	e.limits = limit.New(self, e.lookupEndpoint, limit.WithSeed(e.seed))
+	e.guard = brittle.New(self, e.slotState, e.endpointNames, brittle.WithSeed(e.seed))
 	e.initIncarnation(self)
 	return e
 }
@@ -218,6 +228,7 @@
 func (e *Edge) initIncarnation(self waxwingwall.Incarnation) {
 	e.Self = self
 	e.limits.SetSelf(self)
+	e.guard.SetSelf(self)
 	e.book = escrow.New(
 		self,
 		escrow.WithSeed(e.seed),
@@ -320,6 +331,8 @@
 	e.updateLimiter()
 	e.handleActions(e.limits.Step(e.now, ev))
 	e.takeLimits()
+	e.handleActions(e.guard.Step(e.now, ev))
+	e.takeSlots()
 	e.stepClosers(ev)
 	e.stepRestorers(ev)
 }
@@ -348,6 +361,12 @@
 			e.handleDenied(a)
 		case limit.Changed:
 			e.logLimit(a)
+		case brittle.Granted:
+			e.handleSlotGranted(a)
+		case brittle.Denied:
+			e.handleSlotDenied(a)
+		case brittle.Changed:
+			e.logBrittle(a)
 		default:
 			e.emit(a)
 		}
--- a/core/edge/leaving.go
+++ b/core/edge/leaving.go
@@ -55,6 +55,9 @@
 	if ev.Leaving {
 		e.handleAnnouncement(ev.Endpoint, ev.Born)
 	}
+	if ev.Brittle.Named {
+		e.handleBrittle(ev)
+	}
 	if ev.RetryAfter > 0 {
 		e.handlePause(ev.Endpoint, ev.Born, ev.RetryAfter)
 	}
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -20,7 +20,7 @@
 	return row.replica.Born, !row.departing(), true
 }
 
-// updateLimiter passes the routers to the limiter.
+// updateLimiter passes the routers to the limiter and the guard.
 func (e *Edge) updateLimiter() {
 	if !e.limiterStale {
 		return
@@ -37,6 +37,7 @@
 		vms++
 	}
 	e.limits.SetPeers(live, vms, e.nodes.registered && e.nodes.loaded, e.Draining())
+	e.guard.SetPeers(e.now, live, vms, e.nodes.registered && e.nodes.loaded && !e.Draining())
 }
 
 // takeLimits performs the pending actions of the limiter. They can cause others.
@@ -149,7 +150,7 @@
 	r.permit = g
 	c := e.cost(r, row, false)
 	c.candidates = 1
-	e.startAttempt(r, c)
+	e.startWithSlot(r, c)
 }
 
 // handleDenied sends the request elsewhere or refuses it.
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -110,6 +110,9 @@
 	permit   limit.Granted
 	limitSeq uint64
 
+	// slot is the slot of a brittle endpoint that the request waits for or has.
+	slot slot
+
 	// events and offset are the position of the caller in a stream.
 	events int
 	offset string
@@ -149,7 +152,8 @@
 		return
 	}
 	unlimited, ofVersion := e.limitFilter(r), e.versionFilter(r)
-	mayUse := func(row *endpoint) bool { return unlimited(row) && ofVersion(row) }
+	answering := e.slotFilter(r)
+	mayUse := func(row *endpoint) bool { return unlimited(row) && ofVersion(row) && answering(row) }
 	c, ok := e.choose(r, func(row *endpoint) bool { return row.listed() && mayUse(row) })
 	if !ok && len(r.tried) > 0 && !r.mayHaveRun() {
 		clear(r.tried)
@@ -180,7 +184,7 @@
 		e.askPermit(r, c)
 		return
 	}
-	e.startAttempt(r, c)
+	e.startWithSlot(r, c)
 }
 
 // startAttempt sends a request to an endpoint.
@@ -308,6 +312,7 @@
 		r.offset = ev.Offset
 	}
 	e.returnUnusedPermit(r, ev)
+	e.endSlot(r, ev.Result == Declined && ev.Status == http.StatusServiceUnavailable)
 	e.recordResult(r, target, ev)
 	if ev.Result == Complete {
 		e.finish(r, target, ev)
@@ -534,7 +539,7 @@
 		r.overdueLogged = true
 		e.log("request_overdue", r.call.ID,
 			field("after", e.now.Sub(r.arrived)), field("arrived_version", r.version), field("version", e.config.version),
-			field("attempt", r.attempt), field("in_flight", r.endpoint != nil), field("waits_for_budget", r.waiting), field("waits_for_permit", r.ask != 0))
+			field("attempt", r.attempt), field("in_flight", r.endpoint != nil), field("waits_for_budget", r.waiting), field("waits_for_permit", r.ask != 0), field("waits_for_slot", r.slot.asked))
 	}
 }
 
@@ -622,6 +627,7 @@
 // removeRequest removes a request from the table.
 func (e *Edge) removeRequest(r *request) {
 	e.cancelAsk(r)
+	e.cancelSlot(r)
 	e.releaseNext(r)
 	e.releaseSpare(r)
 	delete(e.versions.asks, r.id)
--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -149,15 +149,12 @@
 func (e *Edge) isFree(row *endpoint) bool {
 	row.decay(e.now)
 	return row.listed() && !e.now.Before(row.backoffUntil) && row.failureRate <= maxLeaveFailureRate &&
-		!e.limits.Limited(row.replica.Endpoint) && e.hasRoom(row)
+		!e.limits.Limited(row.replica.Endpoint) && !e.guard.Brittle(e.now, row.replica.Service) && e.hasRoom(row)
 }
 
 // hasRoom reports whether an endpoint has a free slot, as far as the routers know.
 func (e *Edge) hasRoom(row *endpoint) bool {
-	slots := row.replica.Slots
-	if s := e.config.services[row.replica.Service]; s != nil && s.Engine && s.Slots > 0 {
-		slots = s.Slots
-	}
+	slots := e.slots(row)
 	return slots == 0 || row.running+row.reserved+row.peerLoad.running < slots
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingwall"
+	"waxwingwall/core/brittle"
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
@@ -218,6 +219,7 @@
 	peer.Register(edge.Messages()...)
 	peer.Register(escrow.Messages()...)
 	peer.Register(limit.Messages()...)
+	peer.Register(brittle.Messages()...)
 	peer.Register(member.Messages()...)
 	r.links, cleanup = peer.NewLinks(r.ctx, nil, &r.goroutines)
 	r.closers = append(r.closers, cleanup)
