core/edge: don't hold slots of brittle endpoints that can't be reached

What callers saw (in the model, with leases of slots): where the connections of three of eight routers hang, the others are refused for want of a slot while the endpoints are half idle.

Cause: a lease counts from before there is a connection, and routers that are cut from endpoints took as many as others.

Fix: after a failed connection, and until the endpoint answers, a router asks for no slot within its backoff, and for one at a time after that; other requests ask elsewhere or are refused.

--- a/core/edge/brittle.go
+++ b/core/edge/brittle.go
@@ -92,6 +92,11 @@
 		e.startAttempt(r, c)
 		return
 	}
+	if wait := e.unreachableFor(c.endpoint); wait > 0 {
+		e.giveBackPermit(r)
+		e.askElsewhere(r, c.endpoint.replica.Endpoint, wait)
+		return
+	}
 	r.slot.id = e.guard.NextID()
 	r.slot.asked = true
 	e.slotAsks[r.slot.id] = r
@@ -104,6 +109,21 @@
 	e.takeSlots()
 }
 
+// unreachableFor returns how long this router may not ask for a slot of an endpoint; zero if
+// it may. A slot is not used while its request waits for a connection, so after a failure one
+// request at a time finds out whether there is a connection again.
+func (e *Edge) unreachableFor(row *endpoint) time.Duration {
+	switch {
+	case row.failures == 0:
+		return 0
+	case e.now.Before(row.backoffUntil):
+		return row.backoffUntil.Sub(e.now)
+	case row.running > 0:
+		return minBackoff
+	}
+	return 0
+}
+
 // slotWait returns how long a request may wait for a slot: a new one as long as that leaves
 // time to reach its objective, and one that was sent before for half of its time, as its end
 // would not be a refusal.
@@ -149,18 +169,23 @@
 	}
 	delete(e.slotAsks, d.ID)
 	e.giveBackPermit(r)
-	after := d.RetryAfter
+	if d.Silent {
+		e.log("slot_silent", r.call.ID, field("endpoint", d.Endpoint), field("after", e.now.Sub(r.arrived)))
+	}
+	e.askElsewhere(r, d.Endpoint, d.RetryAfter)
+}
+
+// askElsewhere asks for a slot of another endpoint than one that has none for some time, or
+// refuses the request.
+func (e *Edge) askElsewhere(r *request, full waxwingwall.Endpoint, wait time.Duration) {
 	if r.slot.denied > 0 {
-		after = min(after, r.slot.retryAfter)
+		wait = min(wait, r.slot.retryAfter)
 	}
 	r.slot = slot{
 		denied:     r.slot.denied + 1,
-		retryAfter: after,
-	}
-	if d.Silent {
-		e.log("slot_silent", r.call.ID, field("endpoint", d.Endpoint), field("after", e.now.Sub(r.arrived)))
+		retryAfter: wait,
 	}
-	r.tried[d.Endpoint] = true
+	r.tried[full] = true
 	if r.slot.denied < maxSlotAsks && e.hasUntried(r, func(*endpoint) bool { return true }) {
 		e.dispatch(r)
 		return
--- a/core/edge/brittle_test.go
+++ b/core/edge/brittle_test.go
@@ -17,6 +17,9 @@
 	shrinkAfter = 3 * time.Second
 	downTime    = 4 * time.Second
 
+	// hangTime is how long a connection hangs until it fails.
+	hangTime = 1200 * time.Millisecond
+
 	// brittleTime is how long endpoints are brittle, normalTime the time before.
 	brittleTime = 12 * time.Second
 	normalTime  = 2 * time.Second
@@ -26,7 +29,8 @@
 	wantBrittleUse    = 0.7
 	wantBrittleServed = 0.9
 
-	// wantDisturbedUse is that share while routers restart, pause or can't reach each other.
+	// wantDisturbedUse is that share while routers restart, pause, or can't reach each other
+	// or the endpoints.
 	wantDisturbedUse = 0.5
 )
 
@@ -52,6 +56,9 @@
 	endpoints map[waxwingwall.Endpoint]*brittleEndpoint
 	arrived   int
 	served    int
+
+	// hanging is the number of routers whose connections to endpoints hang.
+	hanging int
 }
 
 // brittleEndpoint is an endpoint of the model. It falls over if it declines more than
@@ -88,7 +95,13 @@
 		l.list = func(int, bool) Replicas { return Replicas{Snapshot: true, Replicas: replicas, Revision: 10} }
 		l.perform = func(i, life int, a effect.Action) bool {
 			d, ok := a.(Dispatch)
-			if ok {
+			switch {
+			case !ok:
+			case i < m.hanging:
+				m.after(hangTime, func() {
+					m.feedLife(i, life, AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: Unreachable})
+				})
+			default:
 				m.after(2*time.Millisecond, func() { m.endpoints[d.Params.Endpoint].receive(i, life, d) })
 			}
 			return ok
@@ -303,7 +316,7 @@
 
 // TestBrittlenessChanges guards against what is known of brittle endpoints becoming old:
 // the number changes, ends and comes back, an endpoint has fallen over before, and routers
-// restart, pause, die, join or can't reach each other.
+// restart, pause, die, join, can't reach each other, or lease slots that they can't use.
 func TestBrittlenessChanges(t *testing.T) {
 	for name, test := range map[string]struct {
 		change  func(m *brittleModel)
@@ -353,6 +366,10 @@
 			},
 			wantUse: wantDisturbedUse,
 		},
+		"connections hang": {
+			change:  func(m *brittleModel) { m.hanging = 3 },
+			wantUse: wantDisturbedUse,
+		},
 		"fleet is cut": {
 			change: func(m *brittleModel) {
 				m.cut = func(a, b int) bool { return (a < 4) != (b < 4) }
