--- a/core/edge/ends_test.go
+++ b/core/edge/ends_test.go
@@ -399,7 +399,7 @@
 		return
 	}
 	d := c.attempt
-	switch rapid.SampledFrom([]string{"begin", "begin", "stall", "stall", "whole", "fail", "decline", "unreach", "break", "limit", "limit", "limit", "pause", "misdirect"}).Draw(m.r, "progress") {
+	switch rapid.SampledFrom([]string{"begin", "begin", "stall", "stall", "whole", "fail", "decline", "unreach", "break", "limit", "limit", "limit", "pause", "brittle", "misdirect"}).Draw(m.r, "progress") {
 	case "begin":
 		if !d.Stream {
 			break
@@ -439,6 +439,8 @@
 		m.post(HeadReceived{Request: c.id, Attempt: d.Attempt, Limit: waxwingwall.RateLimit{Named: m.draw(4, "named") > 0, Rate: float64(m.draw(4, "rate"))}})
 	case "pause":
 		m.post(NoticeReceived{Endpoint: d.Params.Endpoint, Born: d.Born, RetryAfter: time.Duration(1+m.draw(20, "pause")) * 100 * time.Millisecond})
+	case "brittle":
+		m.post(NoticeReceived{Endpoint: d.Params.Endpoint, Born: d.Born, Brittle: waxwingwall.Brittleness{Named: true, Declines: m.draw(4, "declines")}})
 	}
 }
 
--- a/core/edge/reach_test.go
+++ b/core/edge/reach_test.go
@@ -18,10 +18,10 @@
 	// tryTime is how long a caller waits for its answer.
 	tryTime = 2 * time.Second
 
-	// hangTime is how long a connection that is not answered takes to fail, roundTrip how
+	// cutHangTime is how long a connection that is not answered takes to fail, roundTrip how
 	// long others take.
-	hangTime  = 400 * time.Millisecond
-	roundTrip = 2 * time.Millisecond
+	cutHangTime = 400 * time.Millisecond
+	roundTrip   = 2 * time.Millisecond
 
 	// openConnections is the number of connections that a router has to each endpoint when
 	// a cut begins.
@@ -164,7 +164,7 @@
 func (m *reachModel) connect(i int, e *limitEngine, report func(took time.Duration, ok bool)) {
 	ok, took := !m.unreached(i, e), roundTrip
 	if !ok && m.mode != refuse {
-		took = hangTime
+		took = cutHangTime
 	}
 	m.after(took, func() { report(took, ok) })
 }
@@ -213,7 +213,7 @@
 		m.feedLife(i, life, AttemptEnded{Request: d.Request, Attempt: d.Attempt, Result: Unreachable, PeerFailed: peerFailed})
 	}
 	if m.routers[peer].down {
-		m.after(hangTime, func() { failed(true) })
+		m.after(cutHangTime, func() { failed(true) })
 		return
 	}
 	if !m.routers[peer].edge.Paths()[d.Address] {
