--- a/core/brittle/brittle.go
+++ b/core/brittle/brittle.go
@@ -193,9 +193,13 @@
 	return g
 }
 
-// SetSelf sets the router's incarnation.
+// SetSelf sets the router's incarnation. What the one before asked for and holds goes on.
 func (g *Guard) SetSelf(self waxwingwall.Incarnation) {
+	before := g.self
 	g.self = self
+	for _, r := range g.rows {
+		r.renew(before, self)
+	}
 }
 
 // SetPeers sets the other live routers, and the number of all registered routers with this
--- a/core/brittle/brittle_test.go
+++ b/core/brittle/brittle_test.go
@@ -262,3 +262,35 @@
 		}
 	})
 }
+
+// TestAsksOutliveIncarnation guards against an ask that gets neither a slot nor a refusal, and
+// a slot that stays taken, because the incarnation of the router that asked itself was renewed.
+func TestAsksOutliveIncarnation(t *testing.T) {
+	o := newOwner(1)
+	o.run(time.Second)
+	answered := 0
+	count := func(actions []effect.Action) {
+		for _, a := range actions {
+			switch a.(type) {
+			case Granted, Denied:
+				answered++
+			}
+		}
+	}
+	var ids []uint64
+	for range testSlots + 1 {
+		id := o.NextID()
+		o.Ask(o.now, Ask{ID: id, Endpoint: testEndpoint, Wait: 10 * time.Second})
+		ids = append(ids, id)
+		count(o.Take())
+	}
+	if answered != testSlots {
+		t.Fatalf("%d of %d answered", answered, len(ids))
+	}
+	o.SetSelf(waxwingwall.Incarnation{VM: testSelf.VM, Boot: testSelf.Boot + 1})
+	o.End(o.now, ids[0], false)
+	count(o.Take())
+	if answered != len(ids) {
+		t.Errorf("%d of %d answered after a slot became free", answered, len(ids))
+	}
+}
--- a/core/brittle/owner.go
+++ b/core/brittle/owner.go
@@ -406,6 +406,26 @@
 	g.resolve(e.ask, m)
 }
 
+// renew passes the asks and leases of an incarnation to the one that replaces it.
+func (r *row) renew(before, after waxwingwall.Incarnation) {
+	for _, e := range r.waiting {
+		if e.from == before {
+			e.from = after
+		}
+	}
+	for key, l := range maps.Clone(r.leases) {
+		if key.from == before {
+			delete(r.leases, key)
+			key.from = after
+			r.leases[key] = l
+		}
+	}
+	if o, ok := r.others[before]; ok {
+		delete(r.others, before)
+		r.others[after] = o
+	}
+}
+
 // remove withdraws an ask that waits.
 func (r *row) remove(from waxwingwall.Incarnation, id uint64) {
 	r.waiting = slices.DeleteFunc(r.waiting, func(e *entry) bool { return e.from == from && e.ask.ID == id })
