core/edge: go back to a silent endpoint when too many others decline

Callers saw a stream cut although its endpoint was only silent: the attempt was left for another endpoint, and four endpoints declined one after the other, which is more than a request may try. The silent one was asked again only once all others had been tried, so a service of five endpoints or more never came to that.

A request that has left its attempt, and is kept from another one by the number of those that ran nothing alone, is sent to the silent endpoint once more, for one more retry.

Evidence: TestAllDeclineAfterLeaving (nine endpoints) failed before: an abort after the fourth decline.

--- a/core/edge/replaced_test.go
+++ b/core/edge/replaced_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// TestAllDeclineAfterLeaving guards against an answer that is cut after its silent attempt was
+// left, as more endpoints decline it than a request may try: it goes back to the silent one.
+func TestAllDeclineAfterLeaving(t *testing.T) {
+	h := newHarness(t, WithBounds(Bounds{RetryRatio: 0.1, RetryReserve: 40, RetryWindow: 10 * time.Second}))
+	h.listEngines(9, 64)
+	d := h.beginStream()
+	if out := h.stall(d, soundSilence); !has[LeaveAttempt](out) {
+		t.Fatalf("not left: %+v", out)
+	}
+	next := only[Dispatch](h, h.endAttempt(d, left))
+	for range 2 * maxDeclined {
+		out := h.endAttempt(next, AttemptEnded{Result: Declined, Status: 503, Committed: true, Events: 2, Offset: "2"})
+		next = only[Dispatch](h, out)
+		if next.Params.Endpoint == d.Params.Endpoint {
+			return
+		}
+	}
+	t.Errorf("not sent to %s again", d.Params.Endpoint)
+}
+
 // TestUnreachableAfterLeaving guards against an answer that is cut because the one endpoint
 // for which its silent attempt was left can't be reached.
 func TestUnreachableAfterLeaving(t *testing.T) {
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -40,6 +40,9 @@
 	overdueTime = 500 * time.Millisecond
 )
 
+// attemptsUsed is the request.noRetry of a request that was tried as often as it may be.
+const attemptsUsed = "attempts_used"
+
 // request is a request from its arrival to its end.
 type request struct {
 	id      uint64
@@ -88,11 +91,13 @@
 	// answer has not begun. stalledAt is the last attempt that has stalled; next is the
 	// endpoint for which the attempt in flight is left, with a slot reserved and retries
 	// taken. After that left is the endpoint that was silent, and spareRetry is set until
-	// the next one has declined or begun to answer.
+	// the next one has declined or begun to answer. wentBack is set once the request was sent
+	// to left again.
 	firstTimeout time.Duration
 	stalledAt    int
 	next         *endpoint
 	left         waxwingwall.Endpoint
+	wentBack     bool
 	spareRetry   bool
 
 	// pin is the build that a stream is bound to.
@@ -330,7 +335,7 @@
 	case ev.Committed && !(r.route.Kind == waxwingwall.Streaming && r.route.Resumable):
 		r.noRetry = "not_resumable"
 		e.abort(r)
-	case e.takeRetry(r, ev):
+	case e.takeRetry(r, ev), e.goBack(r):
 		e.dispatch(r)
 	case ev.Committed:
 		e.abort(r)
@@ -424,7 +429,7 @@
 		r.declined++
 		switch {
 		case r.declined > 2*maxDeclined:
-			return "attempts_used"
+			return attemptsUsed
 		case r.mayHaveRun() && !r.route.Idempotent():
 			return "not_idempotent"
 		}
@@ -432,7 +437,7 @@
 	case Declined:
 		switch {
 		case r.declined > maxDeclined:
-			return "attempts_used"
+			return attemptsUsed
 		case r.mayHaveRun() && !r.route.Idempotent():
 			return "not_idempotent"
 		}
@@ -441,7 +446,7 @@
 		case !r.route.Idempotent():
 			return "not_idempotent"
 		case r.runs >= r.route.Attempts:
-			return "attempts_used"
+			return attemptsUsed
 		}
 	default:
 		return "deadline"
--- a/core/edge/stall.go
+++ b/core/edge/stall.go
@@ -120,7 +120,7 @@
 	case !r.route.Idempotent():
 		return nil, "not_idempotent"
 	case r.runs+1 >= r.route.Attempts:
-		return nil, "attempts_used"
+		return nil, attemptsUsed
 	case r.deadline.Sub(e.now) < minAttemptTime:
 		return nil, "deadline"
 	case !e.mayDispatch():
@@ -199,3 +199,27 @@
 	delete(r.tried, r.left)
 	return e.choose(r, accept)
 }
+
+// goBack reports whether a request that has left its attempt, and that no other endpoint takes
+// within the attempts that it has, is to be sent to the silent endpoint again. It takes the
+// retry for it.
+func (e *Edge) goBack(r *request) bool {
+	if r.left == "" || r.wentBack || !r.declinedTooOften() || !e.retryBudget(r.service).take(e.now) {
+		return false
+	}
+	r.wentBack = true
+	for _, row := range e.endpoints.byService[r.service] {
+		r.tried[row.replica.Endpoint] = row.replica.Endpoint != r.left
+	}
+	return true
+}
+
+// declinedTooOften reports whether nothing but the number of endpoints that have run nothing
+// of a request keeps it from another attempt.
+func (r *request) declinedTooOften() bool {
+	switch r.lastAttempt.Result {
+	case Declined, Unreachable, Expired:
+		return r.noRetry == attemptsUsed
+	}
+	return false
+}
