soak: faults of broken answers end before the graceful stops without faults

Traced by the logs: its router did not stop; the endpoint broke the answer off after its fifth event, which is the fault 'answers broken' of 3.5 s. That fault breaks the next three answers of an endpoint whenever they come, and fewer had come in between. The phase that checks stops without faults now begins by ending such faults; its check is unchanged.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -244,6 +244,13 @@
 	}
 }
 
+// endBreaks ends the faults of answersBroken whose answers were not asked for yet.
+func (f *fleet) endBreaks() {
+	for _, e := range f.endpoints {
+		e.Break(0, 0)
+	}
+}
+
 // checkGracefulStops checks without faults that every router serves, and that no
 // answer breaks while routers stop gracefully one after the other.
 func (f *fleet) checkGracefulStops(seed uint64) []*call {
@@ -265,6 +272,7 @@
 		})
 		client.CloseIdleConnections()
 	}
+	f.endBreaks()
 	load := f.startLoad(seed, "calm")
 	time.Sleep(300 * time.Millisecond)
 	for _, r := range f.routers[:2] {
