--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -42,6 +42,10 @@
 	// is unknown.
 	linkMbps int
 
+	// callerTime is the time within which callers of callAll want their answers; zero for
+	// the usual time.
+	callerTime time.Duration
+
 	// options returns further options of a relay; nil if there are none.
 	options func(vm string) []Option
 }
