core/edge, core/escrow: an answer to a former incarnation isn't taken for another

Callers of a router lost all their requests at once, with neither an answer nor a refusal: its control goroutine panicked, which ends the process.

Cause: a router that renews its incarnation gets a new escrow.Book, which numbers its calls from 1 again. The store's answers go to the current Book by their number, so the answer to a call of the former Book that is still on its way can match a call of another shard. A write with fewer rows then panics ("index out of range [2] with length 2", core/escrow/shard.go:364), and one with as many rows counts tokens as drawn that are not. It takes a young incarnation, as numbers collide only while the former Book has made few calls: a router that restarts after its clock has gone back takes requests before it has read the list of routers, and renews once it has.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -234,6 +234,7 @@
 		escrow.WithSeed(e.seed),
 		escrow.WithShards(Shards),
 		escrow.WithEvenShares(),
+		escrow.WithPredecessor(e.book),
 	)
 	e.view = member.New(
 		self,
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -113,6 +113,16 @@
 	}
 }
 
+// WithPredecessor continues the numbers of the calls of the Book that this one replaces, so
+// that a late answer to a call of that Book is not taken for one to a call of this Book.
+func WithPredecessor(p *Book) Option {
+	return func(b *Book) {
+		if p != nil {
+			b.callCount = p.callCount
+		}
+	}
+}
+
 // Kind is the kind of a Verdict.
 type Kind int
 
