io/tcp: read options of sockets once they are set in TestOptionsAllowSilence

The test failed with "no keep-alive" though the connection has it: a connection exists, at both ends, before package net sets its options, and the test read them in between. Between two of these calls it could also read the defaults of the rest, and pass for values that are never in force.

It now waits until keep-alive is on at all ends and two reads agree; an end without keep-alive fails it after 5 s. What is expected of the options is the same.

--- a/io/tcp/silence_test.go
+++ b/io/tcp/silence_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -31,6 +32,7 @@
 
 // options are what Linux goes by to give up a connection.
 type options struct {
+	keepAlives                  bool
 	userTimeout, idle, interval time.Duration
 	count                       int
 }
@@ -114,34 +116,48 @@
 }
 
 // socketsOf returns the options of both ends of the connections to a listener of this
-// process. It waits until there are both.
+// process. Each end sets them one by one after the connection is made, so it waits until
+// keep-alive is on at all ends and nothing has changed between two reads.
 func socketsOf(t *testing.T, listener netip.AddrPort) []options {
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		fds, err := os.ReadDir("/proc/self/fd")
+	var before []options
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(settleInterval) {
+		ends := readOptions(t, listener)
+		off := func(o options) bool { return !o.keepAlives }
+		if len(ends) >= 2 && !slices.ContainsFunc(ends, off) && slices.Equal(ends, before) {
+			return ends
+		}
+		before = ends
+	}
+	t.Fatalf("no connection with keep-alive at both ends: %+v", before)
+	return nil
+}
+
+// settleInterval is the time between two reads of the options of a connection.
+const settleInterval = 10 * time.Millisecond
+
+// readOptions reads the options of all sockets of this process that are connected to a
+// listener or were accepted by it.
+func readOptions(t *testing.T, listener netip.AddrPort) []options {
+	fds, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ends []options
+	for _, entry := range fds {
+		fd, err := strconv.Atoi(entry.Name())
 		if err != nil {
 			t.Fatal(err)
 		}
-		var ends []options
-		for _, entry := range fds {
-			fd, err := strconv.Atoi(entry.Name())
-			if err != nil {
-				t.Fatal(err)
-			}
-			remote, err := unix.Getpeername(fd)
-			if err != nil {
-				continue
-			}
-			local, err := unix.Getsockname(fd)
-			if err == nil && (isAddr(remote, listener) || isAddr(local, listener)) {
-				ends = append(ends, optionsOf(t, fd))
-			}
+		remote, err := unix.Getpeername(fd)
+		if err != nil {
+			continue
 		}
-		if len(ends) >= 2 {
-			return ends
+		local, err := unix.Getsockname(fd)
+		if err == nil && (isAddr(remote, listener) || isAddr(local, listener)) {
+			ends = append(ends, optionsOf(t, fd))
 		}
 	}
-	t.Fatal("no connection")
-	return nil
+	return ends
 }
 
 func isAddr(a unix.Sockaddr, want netip.AddrPort) bool {
@@ -157,10 +173,8 @@
 		}
 		return time.Duration(v)
 	}
-	if get(unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 {
-		t.Error("no keep-alive")
-	}
 	return options{
+		keepAlives:  get(unix.SOL_SOCKET, unix.SO_KEEPALIVE) != 0,
 		userTimeout: get(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) * time.Millisecond,
 		idle:        get(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE) * time.Second,
 		interval:    get(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL) * time.Second,
