core/edge: an answer to a former incarnation's registration doesn't register the new one

Other routers did not know a router that had renewed its incarnation: its row was never written, though it logged that it was registered. It used a part of each limit that the others did not count, and nobody would return its shares after its end.

Cause: the write of the former incarnation's row was still pending, and its answer counted for the new incarnation. The renewal now forgets the pending write; calls have numbers of their own, so the late answer is ignored and the new row is written by the next tick.

Evidence: TestRegistrationOfFormerIncarnation failed before ("registered vm-1@6", no write of that row), and passes now, as core/edge does.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -244,6 +244,8 @@
 		member.WithCallers(e.info.Callers),
 	)
 	e.nodes.registered = false
+	// A write in flight is of the former incarnation's row.
+	e.nodes.pendingCall = 0
 	e.nodes.perhapsDeadStale = true
 	e.nodes.peersEpoch++
 	e.nodes.peerUnresponsive = false
--- a/core/edge/renew_test.go
+++ b/core/edge/renew_test.go
@@ -21,14 +21,7 @@
 		Configuration: c,
 	})
 	before := h.draw(c.Accounts[2])
-	h.step(Nodes{
-		Snapshot: true,
-		Rows: []waxwingwall.Row{{
-			Key:     NodeKey(waxwingwall.Incarnation{VM: "vm-1", Boot: 5}),
-			Version: 1,
-			Value:   soundNode,
-		}},
-	})
+	h.renew()
 	after := h.draw(c.Accounts[0])
 	if len(before.Writes) >= len(after.Writes) {
 		t.Fatalf("%d writes, then %d", len(before.Writes), len(after.Writes))
@@ -41,6 +34,30 @@
 	}
 }
 
+// TestRegistrationOfFormerIncarnation guards against a router that is never registered: the
+// store answers the write of its former incarnation's row.
+func TestRegistrationOfFormerIncarnation(t *testing.T) {
+	h := newHarness(t)
+	before := only[effect.Transact](h, h.step(effect.Tick{}))
+	h.renew()
+	out := append(h.step(written(before)), h.step(effect.Tick{})...)
+	if w := only[effect.Transact](h, out).Writes[0]; w.Key != NodeKey(h.edge.Self) {
+		t.Errorf("wrote %s, not the row of %s", w.Key, h.edge.Self)
+	}
+}
+
+// renew lists an incarnation of the router's VM that is newer than its own.
+func (h *harness) renew() {
+	h.step(Nodes{
+		Snapshot: true,
+		Rows: []waxwingwall.Row{{
+			Key:     NodeKey(waxwingwall.Incarnation{VM: "vm-1", Boot: 5}),
+			Version: 1,
+			Value:   soundNode,
+		}},
+	})
+}
+
 // accountsOfShards returns a metered account for each of some shards of the book.
 func accountsOfShards(shards ...int) []waxwingwall.ClientAccount {
 	var accounts []waxwingwall.ClientAccount
