io/tunnel, io/tcp: a tunnel ends once its endpoint is gone

Callers of a router that is cut off waited until their deadline when the endpoint behind the tunnel was gone with a part of the request unacknowledged, and a request that can't be repeated got its outcome only then; nothing told the router of the endpoint.

Cause: without TCP_USER_TIMEOUT, a connection with unacknowledged bytes is given up by the watch of tcp.WatchedDialer alone. The tunnel's server took the endpoint's connection out of it, so only TCP's retransmissions or the tunnel's two minutes ended it; the router's own connection to the peer is sound.

The server now keeps the watched connection, which needs SetLinger for the reset.

--- a/io/tcp/watch.go
+++ b/io/tcp/watch.go
@@ -102,6 +102,11 @@
 	return c.Conn.Close()
 }
 
+// SetLinger is like net.TCPConn.SetLinger.
+func (c *watchedConn) SetLinger(seconds int) error {
+	return c.tcp.SetLinger(seconds)
+}
+
 func (c *watchedConn) beginWrite() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -259,7 +259,7 @@
 
 // tunnel copies between the connection of a request and the endpoint's until both
 // directions have ended. It returns an error if it could not take the connection over.
-func (s *Server) tunnel(w http.ResponseWriter, far *net.TCPConn) error {
+func (s *Server) tunnel(w http.ResponseWriter, far resettable) error {
 	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return err
@@ -284,14 +284,14 @@
 }
 
 // dialEndpoint makes a connection to an endpoint.
-func (s *Server) dialEndpoint(ctx context.Context, to netip.AddrPort, timeout time.Duration) (*net.TCPConn, error) {
+func (s *Server) dialEndpoint(ctx context.Context, to netip.AddrPort, timeout time.Duration) (resettable, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := s.dial(ctx, "tcp", to.String())
 	if err != nil {
 		return nil, err
 	}
-	far, ok := tcp.Unwatched(conn)
+	far, ok := conn.(resettable)
 	if !ok {
 		_ = conn.Close()
 		return nil, errNotTCP
--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -40,11 +40,18 @@
 // errHungUp means that the router closed its side while bytes for the endpoint waited.
 var errHungUp = errors.New("tunnel closed by the router")
 
+// resettable is a TCP connection of package net or of a tcp.WatchedDialer.
+type resettable interface {
+	net.Conn
+	SetLinger(seconds int) error
+}
+
 // tunnel copies between two connections.
 type tunnel struct {
 	// near is the connection of the router, far that of the endpoint.
-	near, far *net.TCPConn
-	onCopied  func(bytes int)
+	near     *net.TCPConn
+	far      resettable
+	onCopied func(bytes int)
 
 	// idle ends the tunnel when it expires.
 	idle *time.Timer
@@ -60,7 +67,7 @@
 }
 
 // newTunnel returns a tunnel and a function that stops its timer.
-func newTunnel(near, far *net.TCPConn, onCopied func(bytes int)) (*tunnel, func()) {
+func newTunnel(near *net.TCPConn, far resettable, onCopied func(bytes int)) (*tunnel, func()) {
 	t := &tunnel{
 		near:     near,
 		far:      far,
@@ -216,7 +223,7 @@
 
 // reset resets both connections.
 func (t *tunnel) reset() {
-	for _, c := range []*net.TCPConn{t.far, t.near} {
+	for _, c := range []resettable{t.far, t.near} {
 		_ = c.SetLinger(0)
 		_ = c.Close()
 	}
