router: a message for a former incarnation isn't handled by its successor

A router that another one had closed could count tokens that were passed to its former incarnation, which its closer counts as well.

Cause: Receive compares the addressed incarnation before it queues the message, and the incarnation may end while the message is in the queue. The job now names the incarnation, like the store's answers, and is dropped with it. relay.Receive compares on its control goroutine already.

--- a/router/owner.go
+++ b/router/owner.go
@@ -80,7 +80,7 @@
 	if e.To.VM != r.settings.Router.VM || (e.To.Boot != 0 && e.To.Boot != r.boot.Load()) {
 		return
 	}
-	r.post(effect.Received{
+	r.postTo(e.To.Boot, effect.Received{
 		From:    e.From,
 		Message: e.Message,
 	})
