--- a/router/answers.go
+++ b/router/answers.go
@@ -144,12 +144,12 @@
 // problem.
 func (r *Router) EndAnswers(ctx context.Context) {
 	open := r.answers.close()
-	r.log.WithField("answers", open).Info("drain_answers")
+	r.log.WithField("answers", open).Info("drain waits for answers")
 	select {
 	case <-r.answers.idle:
 		return
 	case <-ctx.Done():
 	}
-	r.log.WithField("answers", r.answers.close()).Warn("answers_ended")
+	r.log.WithField("answers", r.answers.close()).Warn("drain ends answers")
 	r.answers.end()
 }
