--- a/fake/client.go
+++ b/fake/client.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 
@@ -35,19 +36,24 @@
 	}
 }
 
-// Configure publishes a configuration document and returns it.
+// Configure publishes the next configuration document and returns it.
 func (w *World) Configure(text string) *config.Document {
 	d, err := config.Parse([]byte(text))
 	if err != nil {
 		w.Fail("document: %v", err)
 	}
-	w.Execute(config.NewChange(config.Request{
+	change := config.NewChange(config.Request{
 		Environment: config.Production,
+		Base:        config.Newest,
 		Text:        []byte(text),
 		Author:      "fake",
 		Time:        w.Now,
-		ID:          "first",
-	}))
+		ID:          fmt.Sprint("change", w.version),
+	})
+	w.Execute(change)
+	if _, err := change.Result(); err != nil {
+		w.Fail("change: %v", err)
+	}
 	return &d
 }
 
@@ -143,6 +149,7 @@
 		}
 		if s.Owner.IsZero() {
 			w.clients[request.Identity] = c
+			w.Accepted[request.Identity]++
 			return true
 		}
 		h = w.reachableHost(h.VM, s.Owner.VM)
@@ -173,6 +180,7 @@
 	c := w.clients[id]
 	if c != nil && end.Problem != nil && end.Problem.Code == core.CodeSlotUnavailable && c.slotRetries < maxSlotRetries {
 		w.Returned++
+		w.Accepted[id]--
 		w.retrySlot(c, h)
 		return
 	}
@@ -234,6 +242,8 @@
 // of them.
 func (w *World) Settle() {
 	w.Outage, w.AnswerLoss, w.MessageLoss, w.CrashProbability = false, 0, 0, 0
+	w.BreakProbability, w.DeclineProbability = 0, 0
+	clear(w.Silent)
 	clear(w.Partitioned)
 	for _, h := range w.Hosts {
 		if h.Paused {
--- a/fake/world.go
+++ b/fake/world.go
@@ -43,25 +43,34 @@
 	AnswerLoss float64
 
 	// MessageLoss is the probability that a message is lost, and also that a
-	// delivered message is duplicated. Partitioned holds the pairs of sender and
+	// delivered message is duplicated. MessageDelay is the usual time that one takes;
+	// zero selects a few milliseconds. Partitioned holds the pairs of sender and
 	// receiver between which all messages are lost.
-	MessageLoss float64
-	Partitioned map[[2]waxwingwall.VM]bool
+	MessageLoss  float64
+	MessageDelay time.Duration
+	Partitioned  map[[2]waxwingwall.VM]bool
 
 	// KillOnAnswer kills the next router that gives a complete answer, KillOnStart
 	// the next router that starts an attempt. Both are cleared by the kill.
 	KillOnAnswer, KillOnStart bool
 
 	// Hosts are the VMs. CrashProbability is the probability that an attempt crashes
-	// its endpoint.
-	Hosts            []*Host
-	CrashProbability float64
-
-	// Runs counts the attempts on endpoints; Answers holds all final answers. Returned
-	// counts the requests that an owner accepted and gave back to the gateway.
-	Runs     map[waxwingwall.Identity]int
-	Answers  map[waxwingwall.Identity][]waxwingwall.End
-	Returned int
+	// its endpoint, BreakProbability that its connection is lost, DeclineProbability
+	// that its endpoint declines it. Silent endpoints send nothing for now.
+	Hosts              []*Host
+	CrashProbability   float64
+	BreakProbability   float64
+	DeclineProbability float64
+	Silent             map[waxwingwall.Endpoint]bool
+
+	// Runs counts the attempts on endpoints; Answers holds all final answers. Accepted
+	// counts the requests that an owner accepted, without the Returned ones that it gave
+	// back to the gateway. Cancelled counts the attempts that routers cancelled.
+	Runs      map[waxwingwall.Identity]int
+	Answers   map[waxwingwall.Identity][]waxwingwall.End
+	Accepted  map[waxwingwall.Identity]int
+	Cancelled map[waxwingwall.Identity]int
+	Returned  int
 
 	// Counts counts the operations of all routers.
 	Counts Counts
@@ -145,6 +154,9 @@
 		Partitioned:  make(map[[2]waxwingwall.VM]bool),
 		Runs:         make(map[waxwingwall.Identity]int),
 		Answers:      make(map[waxwingwall.Identity][]waxwingwall.End),
+		Accepted:     make(map[waxwingwall.Identity]int),
+		Cancelled:    make(map[waxwingwall.Identity]int),
+		Silent:       make(map[waxwingwall.Endpoint]bool),
 	}
 	for i := range routers {
 		h := &Host{
@@ -297,6 +309,7 @@
 	case core.StartAttempt:
 		w.startAttempt(h, generation, a)
 	case core.CancelAttempt:
+		w.Cancelled[a.Identity]++
 		if h.active[a.Identity] == a.Attempt {
 			delete(h.active, a.Identity)
 		}
@@ -326,7 +339,7 @@
 			})
 		}
 	}
-	w.After(w.jitter(3*time.Millisecond), deliver)
+	w.After(w.jitter(max(w.MessageDelay, 3*time.Millisecond)), deliver)
 	if w.Random.Float64() < w.MessageLoss {
 		w.After(w.jitter(300*time.Millisecond), deliver)
 	}
@@ -344,6 +357,10 @@
 // tokenInterval.
 func (w *World) startAttempt(h *Host, generation int, a core.StartAttempt) {
 	w.checkVersion(h, a)
+	if w.happens(w.DeclineProbability) {
+		w.decline(h, generation, a)
+		return
+	}
 	w.Runs[a.Identity]++
 	if w.KillOnStart {
 		w.KillOnStart = false
@@ -352,11 +369,44 @@
 	}
 	h.active[a.Identity] = a.Attempt
 	length := 3 + int(xxhash.Sum64String(a.Identity.Key)%20)
-	crashAt := -1
+	failure, failAt := sched.Crashed, -1
 	if w.Random.Float64() < w.CrashProbability {
-		crashAt = w.Random.IntN(length)
+		failAt = w.Random.IntN(length)
+	} else if w.happens(w.BreakProbability) {
+		failure, failAt = sched.Broken, w.Random.IntN(length)
 	}
-	w.nextToken(h, generation, a, 0, length, crashAt)
+	w.nextToken(h, generation, a, 0, course{
+		length:  length,
+		failure: failure,
+		failAt:  failAt,
+	})
+}
+
+// happens draws whether something of probability p happens.
+func (w *World) happens(p float64) bool {
+	return p > 0 && w.Random.Float64() < p
+}
+
+// decline ends an attempt that its endpoint does not run.
+func (w *World) decline(h *Host, generation int, a core.StartAttempt) {
+	w.After(tokenInterval, func() {
+		w.step(h, generation, core.AttemptEnded{
+			Identity: a.Identity,
+			Attempt:  a.Attempt,
+			Failure:  sched.Declined,
+		})
+	})
+}
+
+// course is what an endpoint does with an attempt.
+type course struct {
+	// length is the number of tokens of a whole answer.
+	length int
+
+	// failure is how the attempt fails after failAt tokens; failAt is negative if it
+	// doesn't.
+	failure sched.Failure
+	failAt  int
 }
 
 // checkVersion checks that output is only continued at the version that produced it.
@@ -370,11 +420,15 @@
 }
 
 // nextToken schedules the next token of an attempt or its end.
-func (w *World) nextToken(h *Host, generation int, a core.StartAttempt, i, length, crashAt int) {
+func (w *World) nextToken(h *Host, generation int, a core.StartAttempt, i int, c course) {
 	w.After(tokenInterval, func() {
 		if h.Dead || h.Generation != generation || h.active[a.Identity] != a.Attempt {
 			return
 		}
+		if w.Silent[a.Endpoint] {
+			w.nextToken(h, generation, a, i, c)
+			return
+		}
 		end := core.AttemptEnded{
 			Identity: a.Identity,
 			Attempt:  a.Attempt,
@@ -382,10 +436,10 @@
 			Finish:   waxwingwall.FinishStop,
 		}
 		switch {
-		case i == crashAt:
-			end.Failure = sched.Crashed
+		case i == c.failAt:
+			end.Failure = c.failure
 			w.step(h, generation, end)
-		case i == length:
+		case i == c.length:
 			w.step(h, generation, end)
 		default:
 			h.versions[a.Identity] = a.Version
@@ -394,7 +448,7 @@
 				Attempt:  a.Attempt,
 				Output:   waxwingwall.Tokens(i + 1),
 			})
-			w.nextToken(h, generation, a, i+1, length, crashAt)
+			w.nextToken(h, generation, a, i+1, c)
 		}
 	})
 }
