io/caller: answer and log a panic of a handler

Callers got neither an answer nor a refusal for a whole request if a fault of the router panicked while it was served: net/http closes the connection, with a line only in its own log. If the fault was met after the first event of a stream, on a goroutine of its own, it ended the process, with all requests of all callers. A stream that could not be read to its end was closed as if it were whole, with the text of a problem that is no event.

The handler now logs handler_panicked with the stack and answers 500 with outcome unknown, or ends the stream with a problem event; if a plain answer has begun it still closes the connection, which shows that the answer is not whole.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,7 @@
 	if err := d.servePeers(s.Listen.Peers, r, peerTLS); err != nil {
 		return err
 	}
-	callers, err := caller.New(r)
+	callers, err := caller.New(r, caller.WithLog(log))
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -9,11 +9,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/sirupsen/logrus"
 
 	"waxwingwall"
 	"waxwingwall/api/callerapi"
@@ -22,20 +25,59 @@
 // maxBodyBytes limits the size of a request body.
 const maxBodyBytes = 8 << 20
 
+// Option configures the handler for callers.
+type Option func(*handler)
+
+// WithLog sets the logger.
+func WithLog(l *logrus.Entry) Option {
+	return func(h *handler) {
+		h.log = l
+	}
+}
+
 // New returns the handler for callers. A request whose body is not complete
 // within the BodyTimeout of api is rejected.
-func New(api waxwingwall.CallerAPI) (http.Handler, error) {
-	h := &handler{api: api}
+func New(api waxwingwall.CallerAPI, opts ...Option) (http.Handler, error) {
+	h := &handler{
+		api: api,
+		log: logrus.NewEntry(logrus.StandardLogger()),
+	}
+	for _, o := range opts {
+		o(h)
+	}
 	server, err := callerapi.NewServer(h, h, callerapi.WithErrorHandler(writeError))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f := &flusher{ResponseWriter: w}
+		defer h.answerPanic(r.Context(), f, r)
 		limitBody(w, r, api.BodyTimeout())
-		server.ServeHTTP(flusher{ResponseWriter: w}, r)
+		server.ServeHTTP(f, r)
 	}), nil
 }
 
+// answerPanic answers a request whose handler panicked. If its answer had begun, it closes
+// the connection, so that the answer does not look whole.
+func (h *handler) answerPanic(ctx context.Context, f *flusher, r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		h.logPanic(v)
+	}
+	if v == http.ErrAbortHandler || f.begun {
+		panic(http.ErrAbortHandler)
+	}
+	writeError(ctx, f, r, internalProblem())
+}
+
+// logPanic logs a panic of a goroutine that serves a caller.
+func (h *handler) logPanic(v any) {
+	h.log.WithField("panic", fmt.Sprint(v)).WithField("stack", string(debug.Stack())).Error("handler_panicked")
+}
+
 // limitBody limits the size of a body and the time that it may take to arrive.
 func limitBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) {
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
@@ -49,9 +91,20 @@
 // buffer.
 type flusher struct {
 	http.ResponseWriter
+
+	// begun is set once the answer has begun.
+	begun bool
 }
 
-func (f flusher) Write(p []byte) (int, error) {
+// WriteHeader implements http.ResponseWriter.
+func (f *flusher) WriteHeader(status int) {
+	f.begun = true
+	f.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (f *flusher) Write(p []byte) (int, error) {
+	f.begun = true
 	n, err := f.ResponseWriter.Write(p)
 	if err == nil {
 		err = http.NewResponseController(f.ResponseWriter).Flush()
@@ -60,7 +113,7 @@
 }
 
 // Unwrap gives http.ResponseController access to the connection.
-func (f flusher) Unwrap() http.ResponseWriter {
+func (f *flusher) Unwrap() http.ResponseWriter {
 	return f.ResponseWriter
 }
 
@@ -68,6 +121,7 @@
 
 type handler struct {
 	api waxwingwall.CallerAPI
+	log *logrus.Entry
 }
 
 // HandleBearer implements callerapi.SecurityHandler.
@@ -105,7 +159,7 @@
 		return nil, err
 	}
 	if req.Stream.Value {
-		return streamResponse(ctx, answer, req.Model)
+		return h.streamResponse(ctx, answer, req.Model)
 	}
 	return bufferedResponse(ctx, answer, req.Model)
 }
@@ -193,6 +247,11 @@
 			Outcome: waxwingwall.NotRun,
 		}
 	}
+	return internalProblem()
+}
+
+// internalProblem returns the problem of a request on which the router failed.
+func internalProblem() *waxwingwall.Problem {
 	return &waxwingwall.Problem{
 		Status:  http.StatusInternalServerError,
 		Code:    "internal",
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -73,7 +73,7 @@
 // streamResponse returns an answer as server-sent events. It waits for the
 // first frames, so that a request that fails before them gets an HTTP error
 // status.
-func streamResponse(ctx context.Context, a waxwingwall.Answer, model string) (callerapi.CreateCompletionRes, error) {
+func (h *handler) streamResponse(ctx context.Context, a waxwingwall.Answer, model string) (callerapi.CreateCompletionRes, error) {
 	var first waxwingwall.Frames
 	for len(first.Frames) == 0 && first.End == nil {
 		var err error
@@ -87,7 +87,7 @@
 		return nil, first.End.Problem
 	}
 	r, w := io.Pipe()
-	go writeStream(ctx, a, model, first, w)
+	go h.writeStream(ctx, a, model, first, w)
 	return &callerapi.CreateCompletionOKTextEventStreamHeaders{
 		WaxwingRequest: a.ID(),
 		Response: callerapi.CreateCompletionOKTextEventStream{
@@ -134,28 +134,47 @@
 }
 
 // writeStream writes the events of an answer until its end or until the caller
-// disconnects.
-func writeStream(ctx context.Context, a waxwingwall.Answer, model string, f waxwingwall.Frames, w *io.PipeWriter) {
+// disconnects. An answer that can't be read to its end ends with a problem.
+func (h *handler) writeStream(ctx context.Context, a waxwingwall.Answer, model string, f waxwingwall.Frames, w *io.PipeWriter) {
 	defer a.Close()
-	var buf bytes.Buffer
-	for {
-		buf.Reset()
-		writeFrames(&buf, a.ID(), model, f)
-		if _, err := w.Write(buf.Bytes()); err != nil {
-			return
+	defer func() { _ = w.Close() }()
+	err := h.copyStream(ctx, a, model, f, w)
+	if err == nil {
+		return
+	}
+	_ = writeTo(w, a, model, waxwingwall.Frames{
+		End: &waxwingwall.End{
+			Problem: problemOf(err),
+		},
+	})
+}
+
+// copyStream writes f and what follows it. It returns an error if the answer has no end.
+func (h *handler) copyStream(ctx context.Context, a waxwingwall.Answer, model string, f waxwingwall.Frames, w io.Writer) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			h.logPanic(v)
+			err = internalProblem()
 		}
-		if f.End != nil {
-			_ = w.Close()
-			return
+	}()
+	for {
+		if err := writeTo(w, a, model, f); err != nil || f.End != nil {
+			return err
 		}
-		var err error
 		if f, err = a.Next(ctx); err != nil {
-			_ = w.CloseWithError(err)
-			return
+			return err
 		}
 	}
 }
 
+// writeTo writes frames and, if there is one, the end.
+func writeTo(w io.Writer, a waxwingwall.Answer, model string, f waxwingwall.Frames) error {
+	var buf bytes.Buffer
+	writeFrames(&buf, a.ID(), model, f)
+	_, err := w.Write(buf.Bytes())
+	return err
+}
+
 // writeFrames writes one event for each frame and, if f has an end, the events
 // that end the stream.
 func writeFrames(buf *bytes.Buffer, id, model string, f waxwingwall.Frames) {
