core: a stopping owner keeps its shares while it has slots

Callers were refused, as budget_out_of_reach, by a router that had begun a graceful stop: 3 to 12 of 20 requests sent within its first second in four of eight runs with three routers (TestStopWaitsForAnswersOfOtherOwners of package demo).

Cause: a stopping node returned its budget shares as soon as it had no request, but owned its slots, and so took requests, until its peers had them. A lull of one tick is enough.

The shares are now returned once there is no slot left to hand off, or nobody to take it.

--- a/core/claim/bills.go
+++ b/core/claim/bills.go
@@ -161,7 +161,7 @@
 	if !l.table.registered || l.log.head != l.log.filed || l.currentOffer != nil || l.takeover != nil || l.slots.writing {
 		return false
 	}
-	if len(l.slots.owned(l.self)) > 0 && len(l.candidates()) > 0 {
+	if l.HandsOff() {
 		return false
 	}
 	if now.Sub(l.drainStartedAt) < leaveTimeout && (l.replaceable() || len(l.late) > 0) {
--- a/core/claim/ledger.go
+++ b/core/claim/ledger.go
@@ -404,6 +404,11 @@
 	}
 }
 
+// HandsOff reports whether there are slots and a peer to hand them to.
+func (l *Ledger) HandsOff() bool {
+	return len(l.slots.owned(l.self)) > 0 && len(l.candidates()) > 0
+}
+
 // Drained reports whether the graceful stop is complete: nothing is running,
 // all records are filed and the node row is closed.
 func (l *Ledger) Drained() bool {
--- a/core/node.go
+++ b/core/node.go
@@ -338,9 +338,10 @@
 	return n.takeActions(now)
 }
 
-// drainStep returns the budget shares once no requests remain.
+// drainStep returns the budget shares once no requests remain and none can arrive for
+// this node's slots.
 func (n *Node) drainStep(now time.Time) {
-	if len(n.requests) == 0 {
+	if len(n.requests) == 0 && !n.Ledger.HandsOff() {
 		n.Book.Drain(now)
 	}
 }
--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -103,7 +103,7 @@
 func TestStopWaitsForAnswersOfOtherOwners(t *testing.T) {
 	c := &stopCase{t: t}
 	c.run(45, time.Minute)
-	if len(c.cut) > 0 || c.whole == 0 {
+	if c.whole != 20 {
 		t.Errorf("whole %d, refused %d, cut %d: %q", c.whole, len(c.refused), len(c.cut), slices.Concat(c.refused, c.cut))
 	}
 }
