io/caller: no body limit for requests without a body

A caller that asked for the status of a request got 500 with outcome unknown once that took longer than a body may take to arrive (body_timeout, 1 ms or more in a configuration), for example as the owner did not answer. All later requests of the same connection, whole ones with a body too, ended at once in the same way.

Cause: the limit was set as the read deadline of the connection. For a request without a body net/http already reads in the background, to see the caller leave; it takes the deadline for that, and cancels the context of the connection, which outlives the request. With a body, net/http removes the deadline at its end.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -78,8 +78,12 @@
 	h.log.WithField("panic", fmt.Sprint(v)).WithField("stack", string(debug.Stack())).Error("handler_panicked")
 }
 
-// limitBody limits the size of a body and the time that it may take to arrive.
+// limitBody limits the size of a body and the time that it may take to arrive. Without a
+// body the server waits for the caller to leave, and a deadline would look like that.
 func limitBody(w http.ResponseWriter, r *http.Request, timeout time.Duration) {
+	if r.Body == http.NoBody {
+		return
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	if timeout > 0 {
 		// The server removes the deadline from the connection once the body is read.
