core/sched: ask for another permit later if one can't be used

A router answered nothing any more, and no request that it had read got an answer or a refusal: its control goroutine stayed in one step of the scheduler. This takes endpoints that name limits and a configuration that takes a model from one of them, or removes it.

Cause: the limiter keeps an endpoint's limit under the service for which it was named until the next tick, or for good if the endpoint goes on with another model. A job asked for any permit of its service but those that it excluded, and excluded only endpoints of its own pool. It was granted one of the endpoint that had left, gave it back, which made it free again, and asked once more in the same step, without end.

A job now excludes all limited endpoints that it can't use, of whichever pool, and asks 50 ms later if a permit can't be used, so that no grant can lead to an ask in the same step.

--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -9,6 +9,9 @@
 	"waxwingwall/core/limit"
 )
 
+// permitRetryDelay is the time after which a job asks again whose permit could not be used.
+const permitRetryDelay = 50 * time.Millisecond
+
 // SetRouters sets the number of all registered routers, with this one and those that are
 // not live. Without it, the number of live routers counts.
 func (s *Scheduler) SetRouters(n int) {
@@ -106,7 +109,8 @@
 		Account: j.work.Account,
 	}
 	var best *endpoint
-	for _, e := range j.pool.endpoints {
+	// The limiter may still know endpoints of other pools under the name of this one.
+	for _, e := range s.endpoints {
 		switch {
 		case !s.limits.Limited(e.spec.Name):
 		case !s.hasRoom(now, j, e) || e == j.failedEndpoint || e == j.endpoint:
@@ -155,6 +159,7 @@
 	e := s.byName[g.Endpoint]
 	stays := j.endpoint != nil && !(s.isIdle(now, j) && s.mayLeave(now, j))
 	if stays || j.flow == nil || e == nil || !s.hasRoom(now, j, e) {
+		j.askAfter = now.Add(permitRetryDelay)
 		s.limits.GiveBack(now, g)
 		return
 	}
