--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,8 +22,11 @@
 	address string
 	wg      sync.WaitGroup
 
+	// missed are the requests for which there was no connection any more: the router took
+	// nothing of them.
 	mu      sync.Mutex
 	whole   int
+	missed  int
 	refused []string
 	cut     []string
 }
@@ -47,6 +52,8 @@
 		c.whole++
 	case err == nil && strings.Contains(text, `"outcome"`):
 		c.refused = append(c.refused, fmt.Sprintf("request %d: %s", n, text[max(0, len(text)-150):]))
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.missed++
 	default:
 		c.cut = append(c.cut, fmt.Sprintf("request %d: %v after %q", n, err, text[max(0, len(text)-60):]))
 	}
