core/edge: a request that goes on or ends while its budget resolves isn't handled again

A request could be refused twice; one that can be sent at that moment could be sent twice and hold its tokens twice, and the relay would drop the end of its first attempt and send it again, also if it may not be repeated.

Cause: handleResolved goes through the requests that waited for tokens as the wait ended. One that goes on asks for a permit, which can displace another of a lower rank from the queue for permits. The refusal of that one frees its tokens, which resolves the budget again, and the inner round handles the rest of the list, which the outer one then handles once more. core.Node.budgetResolved looks at the phase of each request and is sound.

Requests that no longer wait are left out.

Evidence: TestResolvedWithinResolved failed before (request 5 was refused 2 times); now each once. That a request is sent twice follows from reading and is not shown by a run. core/edge passes.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -178,6 +178,10 @@
 		return a.id < b.id
 	})
 	for _, r := range waiting {
+		if !r.waiting {
+			// The end of another request has resolved the budget again.
+			continue
+		}
 		if !e.now.Before(r.deadline) {
 			e.refuseUnfunded(r)
 			continue
