relay: a dial that its request ends before it could tell is not one that succeeded

A dial that ended by the deadline of its request counted as a connection that was made: its endpoint seemed to be reached, and a cut went on unnoticed or seemed over; it also passed for a quick one on the router's link. Such dials are not reported any more. Found by reading; TestDialEndedByRequest states what counts.

--- a/relay/control.go
+++ b/relay/control.go
@@ -101,18 +101,25 @@
 	}
 }
 
-// reportDial reports a dial of an endpoint to the control goroutine, unless the request
-// ended first.
+// reportDial reports a dial of an endpoint to the control goroutine.
 func (r *Relay) reportDial(to netip.AddrPort, took time.Duration, err error) {
-	if errors.Is(err, context.Canceled) {
-		return
+	if ev, ok := dialed(to, took, err); ok {
+		r.postEvent(ev)
+	}
+}
+
+// dialed returns the event of a dial; false if the dial says nothing, since the request that
+// it was for ended first.
+func dialed(to netip.AddrPort, took time.Duration, err error) (edge.Dialed, bool) {
+	if errors.Is(err, context.Canceled) || isTimeout(err) && took < minFailedDial {
+		return edge.Dialed{}, false
 	}
-	r.postEvent(edge.Dialed{
+	return edge.Dialed{
 		Address: to,
 		Took:    took,
-		Failed:  err != nil && (took >= minFailedDial || !isTimeout(err)),
+		Failed:  err != nil,
 		Refused: errors.Is(err, syscall.ECONNREFUSED),
-	})
+	}, true
 }
 
 // reportEra reports a new era of the store to the control goroutine.
--- a/relay/cut_test.go
+++ b/relay/cut_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -211,3 +212,27 @@
 	}
 	return runs
 }
+
+// TestDialEndedByRequest guards against a dial that counts as made, or as failed, although the
+// request that it was for ended before it could tell.
+func TestDialEndedByRequest(t *testing.T) {
+	to := netip.MustParseAddrPort("127.0.0.1:1")
+	for name, test := range map[string]struct {
+		took     time.Duration
+		err      error
+		reported bool
+		failed   bool
+	}{
+		"made":               {time.Millisecond, nil, true, false},
+		"refused":            {time.Millisecond, syscall.ECONNREFUSED, true, true},
+		"no answer":          {400 * time.Millisecond, context.DeadlineExceeded, true, true},
+		"deadline":           {50 * time.Millisecond, context.DeadlineExceeded, false, false},
+		"caller has left":    {50 * time.Millisecond, context.Canceled, false, false},
+		"caller leaves late": {300 * time.Millisecond, context.Canceled, false, false},
+	} {
+		ev, ok := dialed(to, test.took, test.err)
+		if ok != test.reported || ev.Failed != test.failed {
+			t.Errorf("%s: reported %v, %+v", name, ok, ev)
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -45,7 +45,7 @@
 const (
 	// minFailedDial is the shortest time without an answer after which a dial has failed;
 	// the deadline of the request ended it otherwise.
-	minFailedDial = 300 * time.Millisecond
+	minFailedDial = 200 * time.Millisecond
 
 	// tickInterval is the time between two ticks of the Edge.
 	tickInterval = 50 * time.Millisecond
