core/edge: streams don't go on at an endpoint that has restarted unlisted

Callers got answers with events of two software versions after an endpoint had restarted under its ID with another version while its entry still named the old one. A router went by the entry, both of the endpoint that began the stream and of the one at which it went on.

The endpoint's own report names its start time, as its entry does. While several versions of a service are listed, a stream goes on only after the endpoint at which it goes on has reported the start time of its entry, and the one that began it too, if its entry may be late. Streams of an endpoint that reports another one are in doubt until the entry changes, like those of a changed entry, and none goes on there. The wait ends after 150 ms; an endpoint without a report is taken for what its entry says, as before. With one version listed nothing is asked.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -272,6 +272,8 @@
 		e.handleHeadReceived(ev)
 	case NoticeReceived:
 		e.handleEndpointNotice(ev)
+	case InstanceReported:
+		e.handleInstanceReported(ev)
 	case AnswerStarted:
 		e.handleAnswerStarted(ev)
 	case AttemptStalled:
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -185,6 +185,9 @@
 		e.fail(r, Unreachable)
 		return
 	}
+	if !e.confirmed(r, c.endpoint) {
+		return
+	}
 	if e.limits.Limited(c.endpoint.replica.Endpoint) {
 		e.askPermit(r, c)
 		return
@@ -636,6 +639,7 @@
 	e.releaseNext(r)
 	e.releaseSpare(r)
 	delete(e.versions.asks, r.id)
+	delete(e.versions.unconfirmed, r.id)
 	delete(e.requests, r.id)
 }
 
--- a/core/edge/version.go
+++ b/core/edge/version.go
@@ -141,7 +141,8 @@
 }
 
 // doubt is a change of the build of an endpoint. Its entry changed at a time, but the
-// endpoint itself may have changed at any time since from; build is the new one.
+// endpoint itself may have changed at any time since from; build is the new one, zero while
+// the entry is still the old one.
 type doubt struct {
 	from, at time.Time
 	build    build
@@ -192,6 +193,11 @@
 
 	asks map[uint64]*streamAsk
 
+	// reports are the last reports of endpoints. unconfirmed holds since when requests,
+	// by their IDs, wait for reports.
+	reports     map[waxwingwall.Endpoint]instanceReport
+	unconfirmed map[uint64]time.Time
+
 	// owners are the routers that take notices, this one included. They are out of date
 	// while ownersStale is set.
 	owners      []owner
@@ -211,6 +217,8 @@
 	v.removed = map[waxwingwall.Endpoint]lastListing{}
 	v.streams = map[uint64]streamRecord{}
 	v.asks = map[uint64]*streamAsk{}
+	v.reports = map[waxwingwall.Endpoint]instanceReport{}
+	v.unconfirmed = map[uint64]time.Time{}
 	v.ownersStale = true
 }
 
@@ -219,6 +227,7 @@
 func (e *Edge) versionStep() {
 	v := &e.versions
 	e.askStep()
+	e.confirmStep()
 	if e.now.Sub(v.sweptAt) >= buildSweepInterval {
 		v.sweptAt = e.now
 		e.sweepVersions()
@@ -257,6 +266,7 @@
 		}
 	}
 	v.expireStreams(e.now)
+	e.expireReports()
 }
 
 // buildSeen records that a build is listed.
@@ -381,6 +391,11 @@
 	if before != 0 && before != now {
 		e.doubtEndpoint(id, now, asOf.Add(-registrationLag))
 	}
+	if d, ok := v.doubts[id]; ok && d.build == 0 && !e.replaced(id) {
+		// The new instance runs the version of the old one.
+		d.build = now
+		v.doubts[id] = d
+	}
 }
 
 // endpointRemoved keeps the build of an entry in case that it is listed anew.
@@ -398,6 +413,9 @@
 // informs their owners.
 func (e *Edge) doubtEndpoint(id waxwingwall.Endpoint, now build, from time.Time) {
 	v := &e.versions
+	if old, ok := v.doubts[id]; ok && old.build == 0 && old.from.Before(from) {
+		from = old.from
+	}
 	v.doubts[id] = doubt{
 		from:  from,
 		at:    e.now,
@@ -427,7 +445,7 @@
 			r.pin.build = 0
 		}
 	}
-	e.log("version_changed", "", field("endpoint", id), field("streams_doubted", len(doubted)), field("since", e.now.Sub(from)))
+	e.log("version_changed", "", field("endpoint", id), field("unlisted", now == 0), field("streams_doubted", len(doubted)), field("since", e.now.Sub(from)))
 }
 
 // inDoubt reports whether a stream that an endpoint began may be of another build.
@@ -515,7 +533,7 @@
 // asking.
 func (e *Edge) versionFilter(r *request) func(*endpoint) bool {
 	if r.pin.set {
-		return func(row *endpoint) bool { return row.build == r.pin.build }
+		return func(row *endpoint) bool { return row.build == r.pin.build && !e.replaced(row.replica.Endpoint) }
 	}
 	settled := func(row *endpoint) bool { return !e.now.Before(e.versions.settledAt[row.build]) }
 	if r.pinnable() {
--- a/relay/control.go
+++ b/relay/control.go
@@ -157,6 +157,8 @@
 		r.drainedOnce.Do(func() { r.spawn(func() { r.finishAnswers(a.End) }) })
 	case edge.Probe:
 		r.spawn(func() { r.probe(a) })
+	case edge.AskInstance:
+		r.spawn(func() { r.askInstance(a) })
 	case edge.Dispatch:
 		r.sendAction(a.Request, a, false)
 	case edge.KeepWaiting:
