core/edge: a stop doesn't panic when the end of a request ends another

All callers of a router that stopped gracefully lost their connections: its control goroutine panicked (nil pointer, core/edge/drain.go:106).

Cause: refuseWaiting and endRequests go through the requests as they were. The refusal of a request that waits for a permit frees its tokens, and one that waits for tokens goes on and may be refused at once, so it is gone when its turn comes. expireWaits expects that.

Evidence: TestStopResolves panicked before as above, and passes now; core/edge passes.

--- a/core/edge/drain.go
+++ b/core/edge/drain.go
@@ -103,7 +103,8 @@
 // stream: there is no time left to run them.
 func (e *Edge) refuseWaiting() {
 	for _, id := range slices.Sorted(maps.Keys(e.requests)) {
-		if r := e.requests[id]; r.endpoint == nil && !r.mayHaveRun() {
+		// The end of another request may have ended this one.
+		if r := e.requests[id]; r != nil && r.endpoint == nil && !r.mayHaveRun() {
 			e.refuse(r, e.unavailableProblem("stopping", "this router stops", stoppingRetryAfter))
 		}
 	}
@@ -115,6 +116,9 @@
 	e.refuseWaiting()
 	for _, id := range slices.Sorted(maps.Keys(e.requests)) {
 		r := e.requests[id]
+		if r == nil {
+			continue
+		}
 		if r.endpoint == nil {
 			e.fail(r, DeadlineExceeded)
 			continue
--- a/core/edge/resolved_test.go
+++ b/core/edge/resolved_test.go
@@ -14,6 +14,61 @@
 // requests that waited for tokens go on, one of them displaces another from the queue for
 // permits, whose tokens then let the rest go on.
 func TestResolvedWithinResolved(t *testing.T) {
+	h, held := newPermitHarness(t)
+	for _, tokens := range []waxwingwall.Tokens{60_000, 4_000, 2_000} {
+		h.ask("quote", tokens)
+	}
+	h.edge.book.Settle(h.now, "shop", held, 0)
+	ends := refusals(h.step(effect.Tick{}))
+	if want := map[uint64]int{2: 1, 3: 1, 5: 1}; !maps.Equal(ends, want) {
+		t.Errorf("refusals of each request: %v, want %v", ends, want)
+	}
+}
+
+// TestStopResolves guards against a router that panics during its stop: the refusal of a
+// request that waits for a permit frees the tokens for one that is refused as well.
+func TestStopResolves(t *testing.T) {
+	h, _ := newPermitHarness(t)
+	h.step(Replicas{
+		Snapshot: true,
+		Replicas: ledgers(1),
+		Revision: 30,
+	})
+	h.ask("advice", 60_000)
+	h.edge.refuseWaiting()
+	for id, n := range refusals(h.step(effect.Tick{})) {
+		if n != 1 {
+			t.Errorf("request %d was refused %d times", id, n)
+		}
+	}
+	if n := len(h.edge.requests); n != 1 {
+		t.Errorf("%d requests are left, want the one in flight", n)
+	}
+}
+
+// refusals counts the refusals of each request.
+func refusals(actions []effect.Action) map[uint64]int {
+	count := map[uint64]int{}
+	for _, a := range actions {
+		if refuse, ok := a.(Refuse); ok {
+			count[refuse.Request]++
+		}
+	}
+	return count
+}
+
+// ask sends a request that costs a number of tokens or a little more.
+func (h *harness) ask(route string, tokens waxwingwall.Tokens) []effect.Action {
+	asked := call(route)
+	asked.Prompt = tokens
+	_, out := h.arrive(asked)
+	return out
+}
+
+// newPermitHarness returns a harness with a request of a low rank, number 2, that has 80,000
+// tokens and waits for a permit of the only ledger, and one in flight elsewhere. The tokens
+// that are left are held; it returns their number.
+func newPermitHarness(t *testing.T) (*harness, waxwingwall.Tokens) {
 	h := newHarness(t)
 	h.register()
 	c := testConfiguration(2)
@@ -41,31 +96,13 @@
 			Rate:  1,
 		},
 	})
-	ask := func(route string, tokens waxwingwall.Tokens) []effect.Action {
-		asked := call(route)
-		asked.Prompt = tokens
-		_, out := h.arrive(asked)
-		return out
-	}
 	h.step(written(h.draw(c.Accounts[0])))
 	h.advance(100 * time.Millisecond)
-	h.step(written(only[effect.Transact](h, ask("order", 80_000))))
+	h.step(written(only[effect.Transact](h, h.ask("order", 80_000))))
 	if _, waiting := h.edge.limits.Held("ledger"); waiting != 1 {
-		t.Fatalf("%d asks wait for a permit", waiting)
+		h.t.Fatalf("%d asks wait for a permit", waiting)
 	}
 	held := h.edge.book.Balance("shop").Free
 	h.edge.book.Reserve(h.now, "shop", held)
-	for _, tokens := range []waxwingwall.Tokens{60_000, 4_000, 2_000} {
-		ask("quote", tokens)
-	}
-	h.edge.book.Settle(h.now, "shop", held, 0)
-	ends := map[uint64]int{}
-	for _, a := range h.step(effect.Tick{}) {
-		if refuse, ok := a.(Refuse); ok {
-			ends[refuse.Request]++
-		}
-	}
-	if want := map[uint64]int{2: 1, 3: 1, 5: 1}; !maps.Equal(ends, want) {
-		t.Errorf("refusals of each request: %v, want %v", ends, want)
-	}
+	return h, held
 }
