core/edge: a request that ends leaves the queue for permits before its tokens are free

A request that is refused while it waits for a permit could be refused once more, or be sent to an endpoint without a limit after its caller was to be told that it has not run.

Cause: its tokens were given back first. They let others go on, one of which can displace it from the queue for permits; the denial then handled it as if it still waited.

Evidence: TestEndedRequestLeavesQueue failed before (refused 2 times) and passes now; the relay drops the second refusal. That it is sent after all follows from reading, no run shows it. core/edge passes.

--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -602,8 +602,11 @@
 	e.removeRequest(r)
 }
 
-// settle charges what the caller received and logs the bill.
+// settle withdraws the ask of a request that ends, charges what the caller received and logs
+// the bill. The tokens that become free may let others go on, so the ask goes first: one of
+// them could displace it and have the request dispatched or refused once more.
 func (e *Edge) settle(r *request) {
+	e.cancelAsk(r)
 	reserved := r.reserved
 	if used, ok := e.charge(r); ok {
 		e.log("billed", r.call.ID, field("budget", r.budget), field("used", used), field("reserved", reserved))
--- a/core/edge/resolved_test.go
+++ b/core/edge/resolved_test.go
@@ -46,6 +46,18 @@
 	}
 }
 
+// TestEndedRequestLeavesQueue guards against a request that is dispatched or ended again while
+// it ends: its tokens let another go on, which displaces it from the queue for permits.
+func TestEndedRequestLeavesQueue(t *testing.T) {
+	h, _ := newPermitHarness(t)
+	h.ask("quote", 60_000)
+	r := h.edge.requests[2]
+	h.edge.fail(r, DeadlineExceeded)
+	if ends := refusals(h.step(effect.Tick{})); ends[r.id] != 1 {
+		t.Errorf("refused %d times", ends[r.id])
+	}
+}
+
 // refusals counts the refusals of each request.
 func refusals(actions []effect.Action) map[uint64]int {
 	count := map[uint64]int{}
