core/sched: ask again after a denial only in a later step

A router answered nothing any more, and no request that it had read got an answer or a refusal: its control goroutine stayed in one step of the scheduler, as it does when a permit can't be used, but here without a change of the configuration: some requests wait for permits, and a permit is free of an endpoint that they can't use.

Cause: a request that has an endpoint without a limit asks for a permit and is denied, as others wait; the delay that the limiter names is computed from the free permits and is zero. The request may ask again at once, and does so in the same step, without end.

The retry of a step thus no longer depends on what the limiter, or the router that owns the limits, answers.

--- a/core/sched/limit.go
+++ b/core/sched/limit.go
@@ -9,7 +9,8 @@
 	"waxwingwall/core/limit"
 )
 
-// permitRetryDelay is the time after which a job asks again whose permit could not be used.
+// permitRetryDelay is the time after which a job asks again whose permit could not be used,
+// and the least time after which it does so after a denial.
 const permitRetryDelay = 50 * time.Millisecond
 
 // SetRouters sets the number of all registered routers, with this one and those that are
@@ -180,7 +181,7 @@
 		return
 	}
 	j.ask = 0
-	j.askAfter = now.Add(d.RetryAfter)
+	j.askAfter = now.Add(max(d.RetryAfter, permitRetryDelay))
 	if j.attempt > 0 || j.flow == nil || s.hasUnlimited(now, j) {
 		return
 	}
