core/edge, relay: a router asks peers before it takes failed connections for a cut

Connections to several endpoints that fail in time also show a full link of the router's own. It was then taken for a cut: requests went through tunnels, which need the same link twice, and waited instead of being refused at once. Peers are asked first now: the router is cut off if one of four reaches an endpoint within 0.3 s. With that a cut is always confirmed, and an outage of the endpoints causes no tunnels for requests at all.

TestFullLinkIsNoCut fails if a router does not ask: it sends requests through tunnels. Dials that their request ended first were not reported to the estimate of the link any more; they are again, and still say nothing of their endpoint.

The link remembers slow connections for 2 s, so TestOutageIsNoCut looks for service 2 s after an outage, not 1 s.

--- a/core/edge/address.go
+++ b/core/edge/address.go
@@ -107,7 +107,7 @@
 			address: e.info.Callers,
 			link:    e.info.LinkMbps,
 			running: len(e.requests),
-			cut:     anyConfirmed(e.cuts()),
+			cut:     len(e.cuts()) > 0,
 		})
 	}
 	for _, p := range e.view.Peers(now) {
@@ -118,7 +118,7 @@
 			address: p.Callers,
 			link:    e.peerLink(p.Incarnation),
 			running: e.peerRunning(p.Incarnation),
-			cut:     anyConfirmed(e.gossip.reports[p.Incarnation].Cuts),
+			cut:     len(e.gossip.reports[p.Incarnation].Cuts) > 0,
 		}
 		all = append(all, c)
 	}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -298,6 +298,8 @@
 		e.stepComponents(ev)
 	case Dialed:
 		e.handleDialed(ev)
+	case TunnelProbed:
+		e.handleTunnelProbed(ev)
 	case effect.Tick:
 		e.stepComponents(ev)
 		e.tick()
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -90,7 +90,7 @@
 	Troubles []EndpointTrouble
 
 	// Cuts are the services whose endpoints the sender does not reach itself.
-	Cuts []Cut
+	Cuts []waxwingwall.Model
 
 	// Departures are leaving endpoints.
 	Departures []Departure
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -54,8 +54,9 @@
 	// Took is the time until the connection was open or the attempt ended.
 	Took time.Duration
 
-	// Failed is set if there is no connection.
-	Failed bool
+	// Failed is set if there is no connection. Abandoned is set if the request ended before
+	// the attempt could tell; it shows the state of the link alone.
+	Failed, Abandoned bool
 
 	// Refused is set if the VM refused the connection: nothing listens there.
 	Refused bool
--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingwall"
+	"waxwingwall/core/effect"
 	"waxwingwall/core/member"
 )
 
@@ -17,10 +18,9 @@
 // decides nothing: run, bill, deadline and cancellation stay with the router that took the
 // request.
 //
-// Only connections show that a router is cut off. One that fails is no proof, since the
-// endpoint may be down: other endpoints of the service are tried first. That all of them fail
-// is none either, but then a tunnel does no harm: if peers don't reach the endpoint, it is
-// avoided as usual.
+// A connection that fails is no proof that the router is cut off: the endpoint may be down, or
+// the router's own link full. So other endpoints of the service are tried, and then peers: the
+// router is cut off if one of them reaches an endpoint at once.
 
 const (
 	// cutEndpoints is the number of endpoints of a service to which connections must fail,
@@ -30,6 +30,14 @@
 	// cutWindow is how long a failed connection counts.
 	cutWindow = 2 * time.Second
 
+	// confirmPeers is the number of peers that are asked at a time whether they reach a
+	// service, askPeersInterval the time between two rounds. A tunnel that takes maxTunnelTime
+	// or more does not show that the router's link is clear: a connection over a full one
+	// takes half as long.
+	confirmPeers     = 4
+	askPeersInterval = 300 * time.Millisecond
+	maxTunnelTime    = 300 * time.Millisecond
+
 	// sweepInterval is the time between two sweeps of a service: connections to further
 	// endpoints after one failed.
 	sweepInterval = time.Second
@@ -72,14 +80,34 @@
 	tunnelCostMs = 20.0
 )
 
-// Cut states that a router is cut off from a service.
-type Cut struct {
-	// Service is the service.
-	Service waxwingwall.Model
+// ProbeTunnel requests a tunnel through a peer, to find out whether the peer reaches an
+// endpoint and how long the way takes. The answer is TunnelProbed.
+type ProbeTunnel struct {
+	effect.IsAction
+
+	// Peer is the peer, Via the address at which it makes tunnels.
+	Peer waxwingwall.Incarnation
+	Via  netip.AddrPort
 
-	// Confirmed is set if the router has reached an endpoint of the service through a
-	// peer: the endpoints are not down.
-	Confirmed bool
+	// Address is the address of the endpoint; DialTimeout limits the wait.
+	Address     netip.AddrPort
+	DialTimeout time.Duration
+}
+
+// TunnelProbed is the event of a tunnel that was requested by ProbeTunnel, or of none.
+type TunnelProbed struct {
+	effect.IsEvent
+
+	// Peer and Address are those of the ProbeTunnel.
+	Peer    waxwingwall.Incarnation
+	Address netip.AddrPort
+
+	// Took is the time until there was a tunnel, or the attempt ended.
+	Took time.Duration
+
+	// Reached is set if there is a tunnel, PeerFailed if the peer could not be reached or
+	// makes none.
+	Reached, PeerFailed bool
 }
 
 // reach is what a router knows of its own paths to endpoints.
@@ -107,8 +135,11 @@
 
 // serviceReach is what a router knows of its paths to the endpoints of a service.
 type serviceReach struct {
-	// cut is set while some endpoints are reached through peers, confirmed once one was.
-	cut, confirmed bool
+	// cut is set while some endpoints are reached through peers.
+	cut bool
+
+	// askedAt is when peers were last asked whether they reach the service.
+	askedAt time.Time
 
 	// failures counts the tunnels in a row that reached no endpoint; until pausedUntil no
 	// further one is tried.
@@ -143,6 +174,9 @@
 
 // recordDial records a connection that was made, or failed, without a tunnel.
 func (e *Edge) recordDial(ev Dialed) {
+	if ev.Abandoned {
+		return
+	}
 	for _, s := range e.config.configuration.Services {
 		for _, row := range e.endpoints.byService[s.Name] {
 			switch {
@@ -201,7 +235,7 @@
 		return
 	}
 	if len(failed) >= min(cutEndpoints, len(failed)+len(others)) {
-		e.beginTunnels(name, s)
+		e.askPeers(name, s, failed)
 		return
 	}
 	answered := e.now.Sub(s.answeredAt) < answersTime
@@ -215,6 +249,57 @@
 	}
 }
 
+// askPeers asks some peers whether they reach endpoints to which connections failed.
+func (e *Edge) askPeers(name waxwingwall.Model, s *serviceReach, failed []*endpoint) {
+	if e.now.Sub(s.askedAt) < askPeersInterval {
+		return
+	}
+	s.askedAt = e.now
+	peers := e.tunnelCandidates(name)
+	e.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for i, peer := range peers[:min(len(peers), confirmPeers)] {
+		e.emit(ProbeTunnel{
+			Peer:        peer,
+			Via:         e.tunnelAddress(peer),
+			Address:     failed[i%len(failed)].replica.Address,
+			DialTimeout: e.dialTimeout(),
+		})
+	}
+}
+
+// handleTunnelProbed records whether a peer reaches an endpoint, and sends the requests for
+// its service through peers if it does and this router does not.
+func (e *Edge) handleTunnelProbed(ev TunnelProbed) {
+	for _, service := range e.config.configuration.Services {
+		for _, row := range e.endpoints.byService[service.Name] {
+			if row.replica.Address != ev.Address {
+				continue
+			}
+			e.recordPeer(ev.Peer, service.Name, ev.Reached, ev.PeerFailed)
+			s := e.reach.service(service.Name)
+			if ev.Reached && ev.Took < maxTunnelTime && !s.cut && !row.dialFailedAt.IsZero() {
+				e.beginTunnels(service.Name, s)
+			}
+		}
+	}
+}
+
+// recordPeer records whether a peer reached an endpoint of a service.
+func (e *Edge) recordPeer(peer waxwingwall.Incarnation, service waxwingwall.Model, reached, peerFailed bool) {
+	key, until := tunnelKey{peer, service}, e.now.Add(cutPeerPause)
+	switch {
+	case peerFailed:
+		key.service = ""
+		until = e.now.Add(lostPeerPause)
+	case reached:
+		until = e.now.Add(goodPeerTime)
+	}
+	e.reach.peers[key] = tunnelPeer{
+		reached: reached,
+		until:   until,
+	}
+}
+
 // probe requests a connection to an endpoint without a tunnel.
 func (e *Edge) probe(row *endpoint) {
 	e.emit(Probe{
@@ -226,7 +311,6 @@
 // beginTunnels sends the requests for a service through peers.
 func (e *Edge) beginTunnels(name waxwingwall.Model, s *serviceReach) {
 	s.cut = true
-	s.confirmed = false
 	s.failures = 0
 	s.pausedUntil = time.Time{}
 	s.healedAt = e.now
@@ -277,9 +361,12 @@
 	e.testSilent()
 	for _, service := range e.config.configuration.Services {
 		s := e.reach.service(service.Name)
-		if s.cut {
+		switch {
+		case s.cut:
 			e.testHealed(service.Name, s)
-		} else {
+		case e.now.Sub(s.askedAt) < cutWindow:
+			e.checkCut(service.Name)
+		default:
 			e.testIdle(service.Name, s)
 		}
 	}
@@ -370,14 +457,7 @@
 		return
 	}
 	s.failures = 0
-	e.reach.peers[tunnelKey{r.via, r.service}] = tunnelPeer{
-		reached: true,
-		until:   e.now.Add(goodPeerTime),
-	}
-	if s.cut && !s.confirmed {
-		s.confirmed = true
-		e.gossip.loadChanged = true
-	}
+	e.recordPeer(r.via, r.service, true, false)
 }
 
 // recordTunnelFailure records that a tunnel was not made. The endpoint is to blame if the
@@ -389,18 +469,13 @@
 			Took:    e.now.Sub(r.sentAt),
 			Failed:  true,
 		})
-		e.reach.peers[tunnelKey{r.via, ""}] = tunnelPeer{
-			until: e.now.Add(lostPeerPause),
-		}
+		e.recordPeer(r.via, r.service, false, true)
 		return
 	}
-	key := tunnelKey{r.via, r.service}
-	if e.reach.peers[key].reached {
+	if e.reach.peers[tunnelKey{r.via, r.service}].reached {
 		target.recordUnreachable(e.now)
 	} else {
-		e.reach.peers[key] = tunnelPeer{
-			until: e.now.Add(cutPeerPause),
-		}
+		e.recordPeer(r.via, r.service, false, false)
 	}
 	s := e.reach.service(r.service)
 	s.failures++
@@ -474,7 +549,7 @@
 			return false
 		}
 	}
-	return !slices.ContainsFunc(e.gossip.reports[p.Incarnation].Cuts, func(c Cut) bool { return c.Service == service })
+	return !slices.Contains(e.gossip.reports[p.Incarnation].Cuts, service)
 }
 
 // peerRunning returns the number of requests that a peer reports.
@@ -506,20 +581,12 @@
 }
 
 // cuts returns the services from which this router is cut off.
-func (e *Edge) cuts() []Cut {
-	var all []Cut
+func (e *Edge) cuts() []waxwingwall.Model {
+	var all []waxwingwall.Model
 	for _, service := range e.config.configuration.Services {
-		if s := e.reach.services[service.Name]; s != nil && s.cut {
-			all = append(all, Cut{
-				Service:   service.Name,
-				Confirmed: s.confirmed,
-			})
+		if e.isCut(service.Name) {
+			all = append(all, service.Name)
 		}
 	}
 	return all
 }
-
-// anyConfirmed reports whether a router is known to be cut off from a service.
-func anyConfirmed(cuts []Cut) bool {
-	return slices.ContainsFunc(cuts, func(c Cut) bool { return c.Confirmed })
-}
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -432,8 +432,14 @@
 
 // Preconnect makes a direct connection and keeps it for a request.
 func (p *Pool) Preconnect(ctx context.Context, to netip.AddrPort, timeout time.Duration) error {
+	return p.PreconnectVia(ctx, netip.AddrPort{}, to, timeout)
+}
+
+// PreconnectVia is like Preconnect through the peer at Request.Via.
+func (p *Pool) PreconnectVia(ctx context.Context, via, to netip.AddrPort, timeout time.Duration) error {
 	c, err := p.dial(ctx, way{
 		addr: to,
+		via:  via,
 	}, timeout)
 	if err != nil {
 		return err
--- a/relay/control.go
+++ b/relay/control.go
@@ -103,23 +103,19 @@
 
 // reportDial reports a dial of an endpoint to the control goroutine.
 func (r *Relay) reportDial(to netip.AddrPort, took time.Duration, err error) {
-	if ev, ok := dialed(to, took, err); ok {
-		r.postEvent(ev)
-	}
+	r.postEvent(dialed(to, took, err))
 }
 
-// dialed returns the event of a dial; false if the dial says nothing, since the request that
-// it was for ended first.
-func dialed(to netip.AddrPort, took time.Duration, err error) (edge.Dialed, bool) {
-	if errors.Is(err, context.Canceled) || isTimeout(err) && took < minFailedDial {
-		return edge.Dialed{}, false
-	}
+// dialed returns the event of a dial.
+func dialed(to netip.AddrPort, took time.Duration, err error) edge.Dialed {
+	abandoned := errors.Is(err, context.Canceled) || isTimeout(err) && took < minFailedDial
 	return edge.Dialed{
-		Address: to,
-		Took:    took,
-		Failed:  err != nil,
-		Refused: errors.Is(err, syscall.ECONNREFUSED),
-	}, true
+		Address:   to,
+		Took:      took,
+		Failed:    err != nil && !abandoned,
+		Abandoned: abandoned,
+		Refused:   errors.Is(err, syscall.ECONNREFUSED),
+	}
 }
 
 // reportEra reports a new era of the store to the control goroutine.
@@ -157,6 +153,8 @@
 		r.drainedOnce.Do(func() { r.spawn(func() { r.finishAnswers(a.End) }) })
 	case edge.Probe:
 		r.spawn(func() { r.probe(a) })
+	case edge.ProbeTunnel:
+		r.spawn(func() { r.probeTunnel(a) })
 	case edge.AskInstance:
 		r.spawn(func() { r.askInstance(a) })
 	case edge.Dispatch:
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 
+	"waxwingwall/core/edge"
+	"waxwingwall/io/origin"
 	"waxwingwall/io/tunnel"
 )
 
@@ -51,6 +53,19 @@
 	return r.dial(ctx, network, address)
 }
 
+// probeTunnel makes a tunnel through a peer; the pool keeps it for a later request.
+func (r *Relay) probeTunnel(a edge.ProbeTunnel) {
+	began := time.Now()
+	err := r.origins.PreconnectVia(r.ctx, a.Via, a.Address, a.DialTimeout)
+	r.postEvent(edge.TunnelProbed{
+		Peer:       a.Peer,
+		Address:    a.Address,
+		Took:       time.Since(began),
+		Reached:    err == nil,
+		PeerFailed: errors.Is(err, origin.ErrVia),
+	})
+}
+
 // finishTunnels waits at a graceful stop until peers have closed their tunnels, but not
 // longer than its grace period.
 func (r *Relay) finishTunnels(end time.Time) {
