core/edge: a cut is what peers reach at the moment at which this router does not

The router now tries four endpoints itself and through peers at the same moment; it is cut off if peers reach two of them that it does not.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -69,6 +69,11 @@
 	// when one last failed; dialFailedAt is zero if none has failed since.
 	dialedAt, dialFailedAt time.Time
 
+	// dialFailedFrom is when the last failed connection began, peerReachedFrom when a tunnel
+	// began by which a peer reached the endpoint. peersOnlyAt is when the two were last seen
+	// together; zero if the router has reached the endpoint since.
+	dialFailedFrom, peerReachedFrom, peersOnlyAt time.Time
+
 	// tunneled is set while requests reach the endpoint through peers.
 	tunneled bool
 
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -271,7 +271,7 @@
 type Probe struct {
 	effect.IsAction
 
-	// Address is the address of the endpoint; DialTimeout limits the wait.
+	// Address is the address of the endpoint; DialTimeout limits the wait, zero selects the default.
 	Address     netip.AddrPort
 	DialTimeout time.Duration
 }
--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -19,31 +19,29 @@
 // request.
 //
 // A connection that fails is no proof that the router is cut off: the endpoint may be down, or
-// the router's own link full. So other endpoints of the service are tried, and then peers: the
-// router is cut off if one of them reaches an endpoint at once.
+// the router's own link full. So other endpoints of the service are tried, and then the same ones
+// directly and through peers: the router is cut off if peers reach at once what it does not.
 
 const (
-	// cutEndpoints is the number of endpoints of a service to which connections must fail,
-	// and none succeed, until the router counts as cut off; all of them if there are fewer.
-	cutEndpoints = 3
-
 	// cutWindow is how long a failed connection counts.
 	cutWindow = 2 * time.Second
 
-	// confirmPeers is the number of peers that are asked at a time whether they reach a
-	// service, askPeersInterval the time between two rounds. A tunnel that takes maxTunnelTime
+	// confirmTunnels is the number of tunnels by which peers are asked at a time whether they
+	// reach endpoints of a service, while the router tries the same endpoints itself. The time
+	// between two rounds is askPeersInterval, or answeredInterval while answers still come from
+	// the service. For confirmEndpoints, all if there are fewer, a tunnel must succeed and a
+	// connection fail that begin within sameTime of each other, since endpoints come and go. A tunnel that takes maxTunnelTime
 	// or more does not show that the router's link is clear: a connection over a full one
 	// takes half as long.
-	confirmPeers     = 4
-	askPeersInterval = 300 * time.Millisecond
+	confirmTunnels   = 4
+	confirmEndpoints = 2
+	sameTime         = 100 * time.Millisecond
+	askPeersInterval = 500 * time.Millisecond
+	answeredInterval = time.Second
 	maxTunnelTime    = 300 * time.Millisecond
 
-	// sweepInterval is the time between two sweeps of a service: connections to further
-	// endpoints after one failed.
-	sweepInterval = time.Second
-
 	// answersTime is how long after an answer from a service a single failed connection
-	// to it is no reason for a sweep.
+	// to it is no reason to ask peers.
 	answersTime = 500 * time.Millisecond
 
 	// minSilence is the shortest silence of a service that makes the router test its
@@ -89,9 +87,8 @@
 	Peer waxwingwall.Incarnation
 	Via  netip.AddrPort
 
-	// Address is the address of the endpoint; DialTimeout limits the wait.
-	Address     netip.AddrPort
-	DialTimeout time.Duration
+	// Address is the address of the endpoint.
+	Address netip.AddrPort
 }
 
 // TunnelProbed is the event of a tunnel that was requested by ProbeTunnel, or of none.
@@ -150,11 +147,10 @@
 	// when a connection was last made without one.
 	answeredAt, dialedAt time.Time
 
-	// sweptAt, testedAt and healedAt are the times of the last sweep, of the last test of
-	// a silent or idle service and of the last test whether the cut is over; tests counts
-	// the latter.
-	sweptAt, testedAt, healedAt time.Time
-	tests                       int
+	// testedAt and healedAt are the times of the last test of a silent or idle service and of
+	// the last test whether the cut is over; tests counts the latter.
+	testedAt, healedAt time.Time
+	tests              int
 }
 
 func (t *reach) init() {
@@ -183,11 +179,15 @@
 			case row.replica.Address != ev.Address:
 			case ev.Failed:
 				row.dialFailedAt = e.now
+				row.dialFailedFrom = e.now.Add(-ev.Took)
+				row.comparePaths(e.now)
+				e.confirmCut(s.Name)
 				e.checkCut(s.Name)
 			default:
 				row.dialedAt = e.now
 				e.reach.service(s.Name).dialedAt = e.now
 				row.dialFailedAt = time.Time{}
+				row.peersOnlyAt = time.Time{}
 				e.endTunnels(row)
 			}
 		}
@@ -234,41 +234,70 @@
 	if len(failed) == 0 || s.cut || !dialedAt.Before(firstFailure) {
 		return
 	}
-	if len(failed) >= min(cutEndpoints, len(failed)+len(others)) {
-		e.askPeers(name, s, failed)
-		return
-	}
-	answered := e.now.Sub(s.answeredAt) < answersTime
-	if answered && len(failed) == 1 || e.now.Sub(s.sweptAt) < sweepInterval {
-		return
+	interval := askPeersInterval
+	if e.now.Sub(s.answeredAt) < answersTime {
+		if len(failed) == 1 {
+			return
+		}
+		interval = answeredInterval
 	}
-	s.sweptAt = e.now
-	e.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, row := range others[:min(len(others), cutEndpoints)] {
-		e.probe(row)
+	if e.now.Sub(s.askedAt) >= interval {
+		e.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		e.askPeers(name, s, append(failed, others...))
 	}
 }
 
-// askPeers asks some peers whether they reach endpoints to which connections failed.
-func (e *Edge) askPeers(name waxwingwall.Model, s *serviceReach, failed []*endpoint) {
-	if e.now.Sub(s.askedAt) < askPeersInterval {
+// askPeers asks some peers whether they reach endpoints, and tries these at the same time.
+func (e *Edge) askPeers(name waxwingwall.Model, s *serviceReach, rows []*endpoint) {
+	peers := e.tunnelCandidates(name)
+	if len(peers) == 0 {
 		return
 	}
 	s.askedAt = e.now
-	peers := e.tunnelCandidates(name)
 	e.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for i, peer := range peers[:min(len(peers), confirmPeers)] {
+	for i := range confirmTunnels {
+		row, peer := rows[i%len(rows)], peers[i%len(peers)]
+		if i < len(rows) {
+			e.emit(Probe{
+				Address: row.replica.Address,
+			})
+		}
 		e.emit(ProbeTunnel{
-			Peer:        peer,
-			Via:         e.tunnelAddress(peer),
-			Address:     failed[i%len(failed)].replica.Address,
-			DialTimeout: e.dialTimeout(),
+			Peer:    peer,
+			Via:     e.tunnelAddress(peer),
+			Address: row.replica.Address,
 		})
 	}
 }
 
-// handleTunnelProbed records whether a peer reaches an endpoint, and sends the requests for
-// its service through peers if it does and this router does not.
+// confirmCut sends the requests for a service through peers once they reach endpoints that
+// this router does not.
+func (e *Edge) confirmCut(name waxwingwall.Model) {
+	s := e.reach.service(name)
+	confirmed, usable := 0, 0
+	for _, row := range e.endpoints.byService[name] {
+		if !row.usable() {
+			continue
+		}
+		usable++
+		if e.now.Sub(row.peersOnlyAt) < cutWindow {
+			confirmed++
+		}
+	}
+	if !s.cut && usable > 0 && confirmed >= min(confirmEndpoints, usable) {
+		e.beginTunnels(name, s)
+	}
+}
+
+// comparePaths records that a peer reached the endpoint while this router did not, if that is
+// what the last connection and the last tunnel show.
+func (r *endpoint) comparePaths(now time.Time) {
+	if !r.dialFailedAt.IsZero() && r.dialFailedFrom.Sub(r.peerReachedFrom).Abs() < sameTime {
+		r.peersOnlyAt = now
+	}
+}
+
+// handleTunnelProbed records whether a peer reaches an endpoint.
 func (e *Edge) handleTunnelProbed(ev TunnelProbed) {
 	for _, service := range e.config.configuration.Services {
 		for _, row := range e.endpoints.byService[service.Name] {
@@ -276,9 +305,10 @@
 				continue
 			}
 			e.recordPeer(ev.Peer, service.Name, ev.Reached, ev.PeerFailed)
-			s := e.reach.service(service.Name)
-			if ev.Reached && ev.Took < maxTunnelTime && !s.cut && !row.dialFailedAt.IsZero() {
-				e.beginTunnels(service.Name, s)
+			if ev.Reached && ev.Took < maxTunnelTime {
+				row.peerReachedFrom = e.now.Add(-ev.Took)
+				row.comparePaths(e.now)
+				e.confirmCut(service.Name)
 			}
 		}
 	}
--- a/relay/tunnel.go
+++ b/relay/tunnel.go
@@ -56,7 +56,7 @@
 // probeTunnel makes a tunnel through a peer; the pool keeps it for a later request.
 func (r *Relay) probeTunnel(a edge.ProbeTunnel) {
 	began := time.Now()
-	err := r.origins.PreconnectVia(r.ctx, a.Via, a.Address, a.DialTimeout)
+	err := r.origins.PreconnectVia(r.ctx, a.Via, a.Address, 0)
 	r.postEvent(edge.TunnelProbed{
 		Peer:       a.Peer,
 		Address:    a.Address,
