core/edge: tests of endpoints don't make a link look clear whose list is out of date

Quick connections count as a sign that the link is clear and the store away; the new tests of idle and silent services added such signs. They are left out while the list is out of date.

TestStaleListIsNotTested failed before.

--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -388,7 +388,12 @@
 // reachStep tests the connections to services that are silent, and whether the router
 // reaches endpoints again.
 func (e *Edge) reachStep() {
-	e.testSilent()
+	// Quick connections show that the link is clear, on which requests are sent by a list
+	// that is out of date. These tests are none for that.
+	stale := e.endpointsStale()
+	if !stale {
+		e.testSilent()
+	}
 	for _, service := range e.config.configuration.Services {
 		s := e.reach.service(service.Name)
 		switch {
@@ -396,7 +401,7 @@
 			e.testHealed(service.Name, s)
 		case e.now.Sub(s.askedAt) < cutWindow:
 			e.checkCut(service.Name)
-		default:
+		case !stale:
 			e.testIdle(service.Name, s)
 		}
 	}
--- a/core/edge/reach_test.go
+++ b/core/edge/reach_test.go
@@ -565,3 +565,18 @@
 		t.Errorf("%d tunnels", m.tunnels)
 	}
 }
+
+// TestStaleListIsNotTested guards against tests of endpoints that make a link look clear whose
+// list of endpoints is out of date: requests would be sent to endpoints that have left.
+func TestStaleListIsNotTested(t *testing.T) {
+	h := newHarness(t)
+	h.advance(h.edge.bounds.EndpointDrain)
+	if !h.edge.endpointsStale() {
+		t.Fatal("the list is not out of date")
+	}
+	h.edge.link.probedAt = h.now.Add(time.Hour)
+	h.edge.reach.init()
+	if out := h.advance(2 * idleInterval); has[Probe](out) {
+		t.Error("endpoints are tested")
+	}
+}
