--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of all scripts. The routers are built as the deploy file says.
 set -eu
 cd "$(dirname "$0")/.."
-go build -ldflags=-linkmode=external -o target/review/kit ./review/kit
+go build -ldflags=-linkmode=external -o target/review/kit ./review/platform
--- a/review/kit/main.go
+++ b/review/platform/main.go
@@ -1,4 +1,4 @@
-// Command kit plays the scripts of the review: it starts a store, servers and clients as
+// Command platform plays the scripts of the review: it starts a store, servers and clients as
 // stand-ins, and the project's routers as processes of their own.
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
@@ -54,7 +54,7 @@
 		"balance": balanceCase,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: kit CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: platform CASE FOLDER")
 		os.Exit(2)
 	}
 	var err error
