--- a/review/platform/balance.go
+++ b/review/platform/balance.go
@@ -14,6 +14,7 @@
 	balanceRouters = 8
 	balanceKilled  = 4 // 0.55 of the machines, rounded down
 	balanceDown    = 2 * time.Second
+	finalDown      = 1600 * time.Millisecond
 	balancePrompt  = 100
 	balanceEvents  = 10
 	balanceStride  = 5
@@ -103,8 +104,8 @@
 	return nil
 }
 
-// kill kills processes at the same moment and starts them again.
-func (b *balanceClient) kill(routers []*router) {
+// kill kills processes at the same moment and starts them again after a time.
+func (b *balanceClient) kill(routers []*router, down time.Duration) {
 	b.mu.Lock()
 	for _, r := range routers {
 		b.down[r] = true
@@ -112,7 +113,7 @@
 	}
 	b.mu.Unlock()
 	say("%d of %d processes are killed", len(routers), len(b.fleet.routers))
-	time.Sleep(balanceDown)
+	time.Sleep(down)
 	for _, r := range routers {
 		<-r.ended
 		r.start()
@@ -124,8 +125,8 @@
 	say("they are back")
 }
 
-// balanceCase: half of the machines are killed at once, twice, and at last all of them; each time
-// they are back 2 s later. The tenant goes on to use its balance, and gets 402 from all
+// balanceCase: half of the machines are killed at once, twice, and at last all of them; they
+// are started again 2 s later, at last 1.6 s later. The tenant goes on to use its balance, and gets 402 from all
 // machines although much of it is left.
 func balanceCase(trouble bool) bool {
 	f := newFleet()
@@ -175,14 +176,14 @@
 	})
 	time.Sleep(time.Until(began.Add(firstKill)))
 	if trouble {
-		b.kill(f.routers[:balanceKilled])
+		b.kill(f.routers[:balanceKilled], balanceDown)
 		time.Sleep(time.Until(began.Add(secondKill)))
-		b.kill(f.routers[balanceKilled:])
+		b.kill(f.routers[balanceKilled:], balanceDown)
 	}
 	time.Sleep(time.Until(began.Add(finalKill)))
 	fault, back := time.Now(), time.Now()
 	if trouble {
-		b.kill(f.routers)
+		b.kill(f.routers, finalDown)
 		back = time.Now()
 	}
 	time.Sleep(time.Until(began.Add(balanceEnd)))
