core/edge, relay, io/origin: log by what the end of an answer was confirmed

An answer that ends with its connection counts as whole if its endpoint runs on. The lines of a request told the framing only, so that the hypotheses of docs/incidents/2026-12-cut-stream.md could not be told apart. served names now what confirmed the end, and connection_ended how often the endpoint was asked, what it answered, how long the answer had been quiet, and since when its companion was open.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -124,6 +124,37 @@
 	RetryAfter time.Duration
 }
 
+// Confirmation is what confirmed that the end of a connection is that of an answer, as the log
+// names it; empty if nothing did.
+type Confirmation string
+
+// The confirmations. Both are answers to another request, asked after the end: on a connection that
+// was open beside that of the answer, or a report of the same start on a new one.
+const (
+	ByCompanion Confirmation = "companion"
+	ByReport    Confirmation = "report"
+)
+
+// Ending is how an answer ended with its connection, for the log.
+type Ending struct {
+	// Confirmed is what confirmed it. Asked counts the questions; Status is that of the last
+	// answer to one, zero if there was none; Took is the time for all.
+	Confirmed Confirmation
+	Asked     int
+	Status    int
+	Took      time.Duration
+
+	// Quiet is the time from the last bytes to the end of the connection.
+	Quiet time.Duration
+
+	// Companion is how long the companion had been open at the end, zero if none was that
+	// counts. Accompanied is set if it was open before the request was sent, Companions counts
+	// the connections made for it.
+	Companion   time.Duration
+	Accompanied bool
+	Companions  int
+}
+
 // AttemptEnded is the event of the end of an attempt.
 type AttemptEnded struct {
 	effect.IsEvent
@@ -138,8 +169,10 @@
 	// Status is the status of the endpoint's answer; zero without an answer.
 	Status int
 
-	// Framing is that of the endpoint's answer.
+	// Framing is that of the endpoint's answer. Ending is how the connection of one ByConnection
+	// ended; nil if it has not.
 	Framing Framing
+	Ending  *Ending
 
 	// Committed is set if the caller has received part of the answer.
 	Committed bool
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -331,6 +331,7 @@
 		field("status", ev.Status), field("framing", string(ev.Framing)), field("committed", ev.Committed), field("events", ev.Events),
 		field("connected", since(r.sentAt, ev.ConnectedAt)), field("sent", since(r.sentAt, ev.SentAt)),
 		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("idle", ev.Idle), field("cause", ev.Err))
+	e.logEnding(r, target, ev)
 	switch {
 	case ev.Result == IdleTimeout && next != nil:
 		r.left = target.replica.Endpoint
@@ -567,13 +568,33 @@
 		field("status", ev.Status), field("framing", string(ev.Framing)), field("events", r.events),
 		field("connected", since(r.sentAt, ev.ConnectedAt)), field("sent", since(r.sentAt, ev.SentAt)),
 		field("first", r.firstLatency), field("took", e.now.Sub(r.sentAt)), field("after", e.now.Sub(r.arrived)),
-		field("budget", r.budget), field("used", used), field("reserved", reserved))
+		field("budget", r.budget), field("used", used), field("reserved", reserved), field("confirmed", confirmation(ev)))
+	e.logEnding(r, target, ev)
 	e.emit(Finished{
 		Request: r.id,
 	})
 	e.removeRequest(r)
 }
 
+// confirmation returns what confirmed the end of an answer; empty if its framing did.
+func confirmation(ev AttemptEnded) string {
+	if ev.Ending == nil {
+		return ""
+	}
+	return string(ev.Ending.Confirmed)
+}
+
+// logEnding logs how an answer ended with its connection.
+func (e *Edge) logEnding(r *request, target *endpoint, ev AttemptEnded) {
+	if ev.Ending == nil {
+		return
+	}
+	e.log("connection_ended", r.call.ID,
+		field("attempt", ev.Attempt), field("endpoint", target.replica.Endpoint), field("confirmed", confirmation(ev)),
+		field("asked", ev.Ending.Asked), field("status", ev.Ending.Status), field("took", ev.Ending.Took), field("quiet", ev.Ending.Quiet),
+		field("companion", ev.Ending.Companion), field("accompanied", ev.Ending.Accompanied), field("companions", ev.Ending.Companions))
+}
+
 // since returns the time from start to end; zero if end is zero.
 func since(start, end time.Time) time.Duration {
 	if end.IsZero() {
--- a/io/origin/companion.go
+++ b/io/origin/companion.go
@@ -60,8 +60,11 @@
 	since  time.Time
 	counts bool
 
-	// counted is set once a connection counted.
-	counted bool
+	// counted is set once a connection counted, early if it does since before the request was
+	// sent. connections counts those that were made.
+	counted     bool
+	early       bool
+	connections int
 
 	// settled is set once no further connection is opened or watched.
 	settled bool
@@ -155,6 +158,7 @@
 	select {
 	case <-companion.opened:
 		companion.vouch(0)
+		companion.markEarly()
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -206,6 +210,7 @@
 	}
 	c.conn = conn
 	c.since = time.Now()
+	c.connections++
 	return true
 }
 
@@ -220,6 +225,7 @@
 	_ = c.conn.Close()
 	c.conn = nil
 	c.counts = false
+	c.early = false
 	return true
 }
 
@@ -232,6 +238,40 @@
 	c.counted = c.counted || c.counts
 }
 
+// markEarly records that the connection that counts does so since before the request was sent.
+func (c *Companion) markEarly() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.early = c.counts
+}
+
+// companionState is the state of a companion at the end of its answer.
+type companionState struct {
+	// since is when its connection was opened; zero if none counts.
+	since time.Time
+
+	// early and connections are those of the Companion.
+	early       bool
+	connections int
+}
+
+// state returns the state of the companion; nil has none.
+func (c *Companion) state() companionState {
+	if c == nil {
+		return companionState{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := companionState{
+		early:       c.early,
+		connections: c.connections,
+	}
+	if c.counts {
+		s.since = c.since
+	}
+	return s
+}
+
 // Counted reports whether there was a connection that counted at some time, even if it has ended;
 // nil never had one.
 func (c *Companion) Counted() bool {
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -321,6 +321,40 @@
 
 	// unnamed is set if the answer names no request.
 	unnamed bool
+
+	// received is when the last bytes of the body came, ended when the connection ended that
+	// ends the body; zero if it has not. accompanied is the state of the companion then.
+	received, ended time.Time
+	accompanied     companionState
+}
+
+// Ending is how the connection ended that ends the body of an answer.
+type Ending struct {
+	// Quiet is the time from the last bytes to the end.
+	Quiet time.Duration
+
+	// Companion is how long the companion had been open, zero if none was that counts.
+	// Accompanied is set if it was open before the request was sent, Companions counts the
+	// connections made for it.
+	Companion   time.Duration
+	Accompanied bool
+	Companions  int
+}
+
+// Ending reports how the connection ended that ends the body; false if it has not.
+func (a *Answer) Ending() (Ending, bool) {
+	if a.ended.IsZero() {
+		return Ending{}, false
+	}
+	e := Ending{
+		Quiet:       a.ended.Sub(a.received),
+		Accompanied: a.accompanied.early,
+		Companions:  a.accompanied.connections,
+	}
+	if !a.accompanied.since.IsZero() {
+		e.Companion = a.ended.Sub(a.accompanied.since)
+	}
+	return e, true
 }
 
 // Do sends a request and returns its answer once the header has arrived. The
@@ -794,6 +828,7 @@
 			a.Length = resp.ContentLength
 			a.Chunked = len(resp.TransferEncoding) > 0
 			a.trace = r.trace
+			a.received = time.Now()
 			a.trace(Received)
 			return trace.Wrap(a.conn.source.wait(a.idleTimeout))
 		}
@@ -835,6 +870,7 @@
 	}
 	n, err := a.resp.Body.Read(b)
 	if n > 0 {
+		a.received = time.Now()
 		a.trace(Received)
 	}
 	if err == nil {
@@ -852,6 +888,8 @@
 
 // confirmEnd reports whether the end of the connection is that of the answer.
 func (a *Answer) confirmEnd() bool {
+	a.ended = time.Now()
+	a.accompanied = a.companion.state()
 	if !a.conn.tellsEnd() {
 		return false
 	}
--- a/relay/instance.go
+++ b/relay/instance.go
@@ -109,7 +109,11 @@
 // A new connection may reach a process that has taken over the address, and the kernel takes one
 // for a process that is being killed: there only a report counts, of the same start. A connection
 // that ends without an answer may be one too many for a full endpoint.
-func (r *Relay) stillRuns(ctx context.Context, d edge.Dispatch, companion *origin.Companion) bool {
+//
+// What it asked and learnt goes to ending.
+func (r *Relay) stillRuns(ctx context.Context, d edge.Dispatch, companion *origin.Companion, ending *edge.Ending) bool {
+	began := time.Now()
+	defer func() { ending.Took = time.Since(began) }()
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	ask := edge.AskInstance{
@@ -119,17 +123,29 @@
 		Timeout:  confirmTimeout,
 	}
 	if companion != nil {
+		ending.Asked++
 		if answer, err := r.readReport(ctx, ask, companion); err == nil {
-			return answer.confirms(d.Born, false)
+			ending.Status = answer.status
+			if !answer.confirms(d.Born, false) {
+				return false
+			}
+			ending.Confirmed = edge.ByCompanion
+			return true
 		}
 	}
 	if d.Born == 0 {
 		return false
 	}
 	for range confirmTries {
+		ending.Asked++
 		answer, err := r.readReport(ctx, ask, nil)
 		if err == nil {
-			return answer.confirms(d.Born, true)
+			ending.Status = answer.status
+			if !answer.confirms(d.Born, true) {
+				return false
+			}
+			ending.Confirmed = edge.ByReport
+			return true
 		}
 		if errors.Is(err, origin.ErrUnreachable) {
 			return false
--- a/relay/request.go
+++ b/relay/request.go
@@ -349,6 +349,7 @@
 
 // exchange sends the request to an endpoint and forwards the answer.
 func (p *proxyRequest) exchange(ctx context.Context, d edge.Dispatch, onStage func(origin.Stage)) edge.AttemptEnded {
+	var ending edge.Ending
 	answer, err := p.relay.origins.Do(ctx, origin.Request{
 		Address:       d.Address,
 		Via:           d.Via,
@@ -364,11 +365,13 @@
 		IdleTimeout:   d.IdleTimeout,
 		KeepWaiting:   func(idle time.Duration) time.Duration { return p.reportStalled(ctx, d, idle) },
 		ID:            p.call.ID,
-		Confirm:       func(ctx context.Context, c *origin.Companion) bool { return p.relay.stillRuns(ctx, d, c) },
-		Match:         func(h http.Header) bool { return p.relay.codec.ParseReply(0, h).Call == p.call.ID },
-		Unnamed:       func(h http.Header) bool { return p.relay.codec.ParseReply(0, h).Call == "" },
-		Head:          p.head,
-		Trace:         onStage,
+		Confirm: func(ctx context.Context, c *origin.Companion) bool {
+			return p.relay.stillRuns(ctx, d, c, &ending)
+		},
+		Match:   func(h http.Header) bool { return p.relay.codec.ParseReply(0, h).Call == p.call.ID },
+		Unnamed: func(h http.Header) bool { return p.relay.codec.ParseReply(0, h).Call == "" },
+		Head:    p.head,
+		Trace:   onStage,
 	})
 	if errors.Is(err, origin.ErrIdleTimeout) {
 		// Other connections to the same address may be dead as well.
@@ -390,6 +393,11 @@
 		outcome = p.forwardAnswer(d, answer)
 	}
 	outcome.Framing = framing(answer)
+	if e, ok := answer.Ending(); ok {
+		ending.Quiet, ending.Companion = e.Quiet, e.Companion
+		ending.Accompanied, ending.Companions = e.Accompanied, e.Companions
+		outcome.Ending = &ending
+	}
 	if outcome.Result == edge.Broken || outcome.Result != edge.Complete && answer.Status < http.StatusMultipleChoices {
 		answer.Reject()
 	}
