--- a/io/origin/reset_test.go
+++ b/io/origin/reset_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // largeBody is a body that is still being written when its answer begins.
@@ -118,3 +120,54 @@
 		}
 	}
 }
+
+// TestResetBesideCompanion guards against an answer that is reset and looks whole: the look at its
+// connection by which a companion begins to count takes the report of the reset from the read that
+// follows, and the endpoint lives on.
+func TestResetBesideCompanion(t *testing.T) {
+	for way, via := range ways(t) {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			rest, reset := make(chan struct{}), make(chan struct{})
+			var requests atomic.Int32
+			addr, _ := numberedEndpoint(t, func(_ int32, c net.Conn) {
+				if !receive(c) {
+					return
+				}
+				switch requests.Add(1) {
+				case 1:
+					send(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+				case 2:
+					send(c, unframedHead+"bo")
+					<-rest
+					send(c, "dy")
+					_ = c.(*net.TCPConn).SetLinger(0)
+					_ = c.Close()
+					close(reset)
+				default:
+					send(c, unframedHead)
+				}
+			})
+			p, stop := New()
+			defer stop()
+			r, _ := watchedRequest(p, addr)
+			r.Via = via
+			r.Confirm = func(context.Context, *Companion) bool { return true }
+			if _, err := readBody(p, r); err != nil {
+				t.Fatal(err)
+			}
+			a, err := p.Do(t.Context(), r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			time.Sleep(2 * companionAge)
+			close(rest)
+			<-reset
+			time.Sleep(100 * time.Millisecond)
+			if body, err := io.ReadAll(a); err == nil {
+				t.Errorf("%q looks whole", body)
+			}
+		})
+	}
+}
