io/tcp, io/origin: a look at a connection takes nothing from it

Callers saw an answer as whole that its endpoint had reset, if the answer had neither a length nor chunks. The kernel reports a reset once, to the first call that meets it, and a read after that sees an end in order. Before each read of such an answer, while its companion was open and did not count yet, a look at the connection peeked with recv. If the reset had come with the last bytes the look got the report; the read saw an end, and the endpoint, which lives on, confirmed it.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -37,11 +37,9 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sys/unix"
 
 	"waxwingwall/io/quota"
 	"waxwingwall/io/tcp"
@@ -624,24 +622,7 @@
 	if t, ok := c.Conn.(*tunnel.Conn); ok && !t.BetweenFrames() {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	usable := false
-	if err := raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		usable = errors.Is(rerr, unix.EAGAIN)
-		return true
-	}); err != nil {
-		return false
-	}
-	return usable
+	return tcp.Idle(c.Conn)
 }
 
 // CloseExpired closes idle connections that have expired.
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -9,11 +9,14 @@
 // in this package the others. TCP_USER_TIMEOUT is not used for either: it replaces the count of
 // the probes, cuts the last retransmission timeout short, and covers the time in which the
 // peer's receive window is closed.
+//
+// The kernel reports a failure of a connection once, to the first call that meets it; a read after
+// that sees an end in order. So nothing but reads and writes may take the report: Idle and Closed
+// only look, and Conn keeps what a write has got for the reads.
 package tcp
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -173,25 +176,3 @@
 	}
 	return err
 }
-
-// Closed reports whether the peer has closed a connection and all that it sent was read.
-// It neither waits nor reads anything, and may be called while another goroutine reads.
-func Closed(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	if err := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		closed = n == 0 && rerr == nil || errors.Is(rerr, unix.ECONNRESET)
-	}); err != nil {
-		return true
-	}
-	return closed
-}
