io/origin: an endpoint confirms the end of an answer only if it outlives it

Callers saw an answer as whole that was cut as its endpoint went down, if the answer had neither a length nor chunks. The endpoint was asked at once whether it runs on. One that closes its connections one after the other, as its machine goes down, still answered on the companion.

The question follows 100 ms after the end now, on either path, and a companion that has ended meanwhile no longer counts. The events of a stream are passed on before that; other answers without framing come 100 ms later.

An endpoint that goes on answering for longer still confirms.

--- a/io/endpoint/end.go
+++ b/io/endpoint/end.go
@@ -67,7 +67,7 @@
 	e.mu.Lock()
 	companion := e.companion
 	e.mu.Unlock()
-	if !companion.Settle() {
+	if !companion.Settle(ctx) {
 		if companion.Counted() {
 			return false
 		}
--- a/io/origin/companion.go
+++ b/io/origin/companion.go
@@ -18,6 +18,10 @@
 	// arrives within it.
 	companionAge = 500 * time.Millisecond
 
+	// outliveTime is how long an endpoint must run on after the end of an answer to confirm it. One
+	// that goes down closes its connections one after the other, and answers meanwhile.
+	outliveTime = 100 * time.Millisecond
+
 	// companionPause is the time until a companion that has ended is opened again. It doubles
 	// each time, up to maxCompanionPause.
 	companionPause    = 100 * time.Millisecond
@@ -290,9 +294,13 @@
 	return c.conn != nil && !c.counts && time.Since(c.since) >= companionAge
 }
 
-// Settle tells that the answer has ended, and reports whether there is a connection that counts for
-// Request.Companion; nil has none.
-func (c *Companion) Settle() bool {
+// Settle is called when the answer has ended, and returns once its endpoint has had time to end as
+// well. It reports whether there is a connection that counts for Request.Companion; nil has none.
+func (c *Companion) Settle(ctx context.Context) bool {
+	select {
+	case <-time.After(outliveTime):
+	case <-ctx.Done():
+	}
 	if c == nil {
 		return false
 	}
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -375,13 +375,9 @@
 		return nil, trace.Wrap(ErrExpired)
 	}
 	r.trace(Connected)
-	confirm := r.Confirm
-	if confirm == nil {
-		confirm = func(context.Context, *Companion) bool { return false }
-	}
 	a := &Answer{
 		ctx:         ctx,
-		confirm:     confirm,
+		confirm:     r.Confirm,
 		companion:   companion,
 		pool:        p,
 		conn:        c,
@@ -871,10 +867,10 @@
 func (a *Answer) confirmEnd() bool {
 	a.ended = time.Now()
 	a.accompanied = a.companion.state()
-	if !a.conn.tellsEnd() {
+	if a.confirm == nil || !a.conn.tellsEnd() {
 		return false
 	}
-	if !a.companion.Settle() {
+	if !a.companion.Settle(a.ctx) {
 		return a.confirm(a.ctx, nil)
 	}
 	return a.confirm(a.ctx, a.companion)
