io/origin: a companion that was opened after the request doesn't confirm its answer

Callers saw a cut answer as whole if its process was killed, its end arrived late (after a cut of the link, or behind retransmissions), and a process that makes no reports had the address since. A companion that was opened while the answer ran, or again as the first one had ended, was one of that process; it counted once it was 500 ms old and the answer's connection had nothing to read, and any answer on it confirmed the end.

The rule is now: a companion is opened once, before the request is sent, and confirms only if it is open 100 ms after the end still. Anything else takes a report of the same start. So companions need no goroutine, no second dial and no look at the answer's connection.

TestReportAfterClosedCompanion demands that a report of the same start still confirms such an answer. An endpoint that closes idle connections early and makes no reports gets its unframed answers given up.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -147,12 +147,10 @@
 	// Quiet is the time from the last bytes to the end of the connection.
 	Quiet time.Duration
 
-	// Companion is how long the companion had been open at the end, zero if none was that
-	// counts. Accompanied is set if it was open before the request was sent, Companions counts
-	// the connections made for it.
-	Companion   time.Duration
-	Accompanied bool
-	Companions  int
+	// Companion is how long the companion had been open at the end, zero if there was none.
+	// Outlived is set if it was open for some time after the end, too.
+	Companion time.Duration
+	Outlived  bool
 }
 
 // AttemptEnded is the event of the end of an attempt.
--- a/io/endpoint/end.go
+++ b/io/endpoint/end.go
@@ -68,7 +68,7 @@
 	companion := e.companion
 	e.mu.Unlock()
 	if !companion.Settle(ctx) {
-		if companion.Counted() {
+		if companion.Opened() {
 			return false
 		}
 		companion = nil
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -320,10 +320,10 @@
 	// unnamed is set if the answer names no request.
 	unnamed bool
 
-	// received is when the last bytes of the body came, ended when the connection ended that
-	// ends the body; zero if it has not. accompanied is the state of the companion then.
-	received, ended time.Time
-	accompanied     companionState
+	// received is when the last bytes of the body came. ending is how the connection ended that
+	// ends the body; nil if it has not.
+	received time.Time
+	ending   *Ending
 }
 
 // Ending is how the connection ended that ends the body of an answer.
@@ -331,28 +331,15 @@
 	// Quiet is the time from the last bytes to the end.
 	Quiet time.Duration
 
-	// Companion is how long the companion had been open, zero if none was that counts.
-	// Accompanied is set if it was open before the request was sent, Companions counts the
-	// connections made for it.
-	Companion   time.Duration
-	Accompanied bool
-	Companions  int
+	// Companion is how long the companion had been open, zero if there was none. Outlived is set
+	// if it was open for some time after the end, too.
+	Companion time.Duration
+	Outlived  bool
 }
 
-// Ending reports how the connection ended that ends the body; false if it has not.
-func (a *Answer) Ending() (Ending, bool) {
-	if a.ended.IsZero() {
-		return Ending{}, false
-	}
-	e := Ending{
-		Quiet:       a.ended.Sub(a.received),
-		Accompanied: a.accompanied.early,
-		Companions:  a.accompanied.connections,
-	}
-	if !a.accompanied.since.IsZero() {
-		e.Companion = a.ended.Sub(a.accompanied.since)
-	}
-	return e, true
+// Ending returns how the connection ended that ends the body; nil if it has not.
+func (a *Answer) Ending() *Ending {
+	return a.ending
 }
 
 // Do sends a request and returns its answer once the header has arrived. The
@@ -393,7 +380,7 @@
 		}
 		return nil, err
 	}
-	a.accompany(r)
+	a.recordFraming(r)
 	return a, nil
 }
 
@@ -576,19 +563,16 @@
 	return maphash.String(p.seed, id)
 }
 
-// accompany opens a companion if the answer needs one and has none, and closes one that it
-// doesn't need.
-func (a *Answer) accompany(r Request) {
+// recordFraming records how the end of the answer is known, and closes a companion that it doesn't
+// need.
+func (a *Answer) recordFraming(r Request) {
 	if r.Confirm == nil {
 		return
 	}
 	a.pool.Framed(r.Address, !a.endsWithConnection())
-	switch {
-	case !a.endsWithConnection():
+	if !a.endsWithConnection() {
 		a.companion.Close()
 		a.companion = nil
-	case a.companion == nil && a.conn.tellsEnd() && a.conn.isNew():
-		a.companion = a.pool.openCompanion(a.ctx, a.conn.way, r.DialTimeout, maxCompanionsPerAddress)
 	}
 }
 
@@ -841,10 +825,6 @@
 			return 0, trace.Wrap(err)
 		}
 	}
-	// With nothing to read, no end of the endpoint's process is underway.
-	if a.companion != nil && a.companion.doubted() && a.conn.drained() {
-		a.companion.vouch(companionAge)
-	}
 	n, err := a.resp.Body.Read(b)
 	if n > 0 {
 		a.received = time.Now()
@@ -865,12 +845,15 @@
 
 // confirmEnd reports whether the end of the connection is that of the answer.
 func (a *Answer) confirmEnd() bool {
-	a.ended = time.Now()
-	a.accompanied = a.companion.state()
+	a.ending = &Ending{
+		Quiet:     time.Since(a.received),
+		Companion: a.companion.Age(),
+	}
 	if a.confirm == nil || !a.conn.tellsEnd() {
 		return false
 	}
-	if !a.companion.Settle(a.ctx) {
+	a.ending.Outlived = a.companion.Settle(a.ctx)
+	if !a.ending.Outlived {
 		return a.confirm(a.ctx, nil)
 	}
 	return a.confirm(a.ctx, a.companion)
--- a/relay/confirm_test.go
+++ b/relay/confirm_test.go
@@ -140,3 +140,29 @@
 		t.Errorf("status %d, %d declined, asked %d times", a.status, declined.Load(), asked.Load())
 	}
 }
+
+// TestReportAfterClosedCompanion guards against a whole answer that is given up because its endpoint
+// closes idle connections, and against one that is confirmed by a process that doesn't make reports.
+func TestReportAfterClosedCompanion(t *testing.T) {
+	for report, whole := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":1}": true,
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":2}": false,
+		notFound: false,
+	} {
+		f := newFleet(t, 1, testAccount)
+		f.serveConns("order", func(_ net.Listener, c *net.TCPConn, next func() *http.Request) {
+			_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+			switch req := next(); {
+			case strings.HasPrefix(req.RequestURI, "/order"):
+				write(c, standin.SealedHead("200 OK")+"\r\npla")
+				time.Sleep(time.Second)
+				write(c, "ced")
+			case req.RequestURI != "":
+				write(c, report)
+			}
+		})
+		if a := f.call(f.relays[0], "order", "", 0, 0); (a.status == http.StatusOK && a.err == nil) != whole {
+			t.Errorf("%.20q: got %+v", report, a)
+		}
+	}
+}
--- a/relay/request.go
+++ b/relay/request.go
@@ -393,9 +393,8 @@
 		outcome = p.forwardAnswer(d, answer)
 	}
 	outcome.Framing = framing(answer)
-	if e, ok := answer.Ending(); ok {
-		ending.Quiet, ending.Companion = e.Quiet, e.Companion
-		ending.Accompanied, ending.Companions = e.Accompanied, e.Companions
+	if e := answer.Ending(); e != nil {
+		ending.Quiet, ending.Companion, ending.Outlived = e.Quiet, e.Companion, e.Outlived
 		outcome.Ending = &ending
 	}
 	if outcome.Result == edge.Broken || outcome.Result != edge.Complete && answer.Status < http.StatusMultipleChoices {
