io/tunnel: both connections of a tunnel are tcp.Conns

The endpoint's connection had a note of its own of failed writes, and the router's had none. Both go by the rule of io/tcp now, so the order of writes and reads doesn't matter for either: a router that resets its connection while the endpoint answers resets the endpoint's as well, whichever direction is told of it.

--- a/io/tunnel/tunnel.go
+++ b/io/tunnel/tunnel.go
@@ -43,15 +43,17 @@
 // resettable is a TCP connection of package net or of a tcp.WatchedDialer.
 type resettable interface {
 	net.Conn
+	syscall.Conn
 	SetLinger(seconds int) error
 }
 
 // tunnel copies between two connections.
 type tunnel struct {
-	// near is the connection of the router, far that of the endpoint.
-	near     *net.TCPConn
-	far      resettable
-	onCopied func(bytes int)
+	// near is the connection of the router, far that of the endpoint; nearTCP is the one below
+	// near, and is neither read nor written itself.
+	near, far *tcp.Conn
+	nearTCP   *net.TCPConn
+	onCopied  func(bytes int)
 
 	// framed is set if the router gets the bytes of the endpoint in frames.
 	framed bool
@@ -61,19 +63,14 @@
 
 	// ended is set once the endpoint has closed its side in order.
 	ended atomic.Bool
-
-	// writing is held during each write to far. failed is set once one of them reported a
-	// failure of the connection: the kernel reports it only once, and a later read would
-	// see a plain end.
-	writing sync.Mutex
-	failed  bool
 }
 
 // newTunnel returns a tunnel and a function that stops its timer.
 func newTunnel(near *net.TCPConn, far resettable, framed bool, onCopied func(bytes int)) (*tunnel, func()) {
 	t := &tunnel{
-		near:     near,
-		far:      far,
+		near:     tcp.NewConn(near),
+		far:      tcp.NewConn(far),
+		nearTCP:  near,
 		onCopied: onCopied,
 		framed:   framed,
 	}
@@ -85,9 +82,9 @@
 // bytes early arrived together with the request.
 func (t *tunnel) run(early []byte) {
 	// A router that has vanished would otherwise hold the tunnel and the endpoint.
-	_ = t.near.SetKeepAliveConfig(tcp.Dialer().KeepAliveConfig)
+	_ = t.nearTCP.SetKeepAliveConfig(tcp.Dialer().KeepAliveConfig)
 	// A router that gets no frames has only the end of this connection to go by.
-	tcp.ResetAtEnd(t.near)
+	tcp.ResetAtEnd(t.nearTCP)
 	head := establishedHead
 	if t.framed {
 		head = framedHead
@@ -148,17 +145,10 @@
 
 // writePart writes to the endpoint for a bounded time.
 func (t *tunnel) writePart(b []byte) (int, error) {
-	t.writing.Lock()
-	defer t.writing.Unlock()
 	if err := t.far.SetWriteDeadline(time.Now().Add(writeInterval)); err != nil {
 		return 0, err
 	}
-	n, err := t.far.Write(b)
-	// EPIPE follows an end or a failure that a read reports.
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE) {
-		t.failed = true
-	}
-	return n, err
+	return t.far.Write(b)
 }
 
 // copyDown copies from the endpoint to the router, and then passes the end on.
@@ -193,7 +183,7 @@
 
 // endDown passes the end of the endpoint's connection on to the router.
 func (t *tunnel) endDown(err error) {
-	if !errors.Is(err, io.EOF) || t.hasFailed() {
+	if !errors.Is(err, io.EOF) {
 		t.drain()
 		t.reset()
 		return
@@ -205,21 +195,14 @@
 			return
 		}
 	}
-	tcp.EndInOrder(t.near)
+	tcp.EndInOrder(t.nearTCP)
 	t.idle.Reset(lingerTimeout)
 	t.ended.Store(true)
-	if err := t.near.CloseWrite(); err != nil {
+	if err := t.nearTCP.CloseWrite(); err != nil {
 		t.reset()
 	}
 }
 
-// hasFailed reports whether a write found the endpoint's connection to have failed.
-func (t *tunnel) hasFailed() bool {
-	t.writing.Lock()
-	defer t.writing.Unlock()
-	return t.failed
-}
-
 // drain waits until the router has acknowledged all bytes, which a reset would discard.
 func (t *tunnel) drain() {
 	for began := time.Now(); unacknowledged(t.near) > 0 && time.Since(began) < drainTimeout; {
@@ -256,15 +239,13 @@
 
 // reset resets both connections.
 func (t *tunnel) reset() {
-	for _, c := range []resettable{t.far, t.near} {
-		_ = c.SetLinger(0)
-		_ = c.Close()
-	}
+	tcp.Reset(t.far.Conn)
+	tcp.Reset(t.near.Conn)
 }
 
 // hungUp reports whether the other side of a connection has closed it, even if there are
 // bytes left to read.
-func hungUp(c *net.TCPConn) bool {
+func hungUp(c syscall.Conn) bool {
 	hungUp := false
 	err := control(c, func(fd int) {
 		fds := []unix.PollFd{{
@@ -279,7 +260,7 @@
 
 // unacknowledged returns the number of bytes that the other side has not acknowledged;
 // zero if the connection is closed.
-func unacknowledged(c *net.TCPConn) int {
+func unacknowledged(c syscall.Conn) int {
 	bytes := 0
 	if err := control(c, func(fd int) {
 		if n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
@@ -292,7 +273,7 @@
 }
 
 // control calls f with the descriptor of a connection.
-func control(c *net.TCPConn, f func(fd int)) error {
+func control(c syscall.Conn, f func(fd int)) error {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
