io/tcp: a look at a connection goes on after a signal

A poll is interrupted by the signals by which the runtime preempts goroutines, even if it doesn't wait. Such a look counted an idle connection as ended, so that a kept connection could be closed, or a companion not confirm a whole answer.

--- a/io/tcp/look.go
+++ b/io/tcp/look.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -45,10 +46,12 @@
 		Fd:     int32(fd),
 		Events: events,
 	}}
-	if _, err := unix.Poll(fds, 0); err != nil {
-		return 0, err
+	for {
+		_, err := unix.Poll(fds, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return fds[0].Revents, err
+		}
 	}
-	return fds[0].Revents, nil
 }
 
 // look calls f with the descriptor of a connection.
