--- /dev/null
+++ b/io/service/cut_test.go
@@ -0,0 +1,250 @@
+package service_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"waxwingwall/io/service"
+)
+
+const (
+	framedAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 25\r\n\r\n" + `{"id":"framed","body":""}`
+	unframedHead = "HTTP/1.1 201 Created\r\n\r\n"
+	unframedText = "placed"
+	aliveAnswer  = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+)
+
+// lasting is a service whose answers are chosen by the attempt.
+type lasting struct {
+	listener net.Listener
+
+	// cut answers the attempt "cut" and ends its connection, of which it has read the head alone.
+	cut func(e *lasting, c *net.TCPConn)
+
+	// mu guards the fields below.
+	mu    sync.Mutex
+	down  bool
+	conns []net.Conn
+}
+
+// newLasting starts an endpoint.
+func newLasting(t *testing.T, cut func(*lasting, *net.TCPConn)) *lasting {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &lasting{
+		listener: l,
+		cut:      cut,
+	}
+	t.Cleanup(e.goDown)
+	go e.serve(l)
+	return e
+}
+
+func (e *lasting) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if e.hold(c) {
+			go e.serveConn(c.(*net.TCPConn))
+		}
+	}
+}
+
+// hold notes a connection, and closes it if the endpoint is down.
+func (e *lasting) hold(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		_ = c.Close()
+		return false
+	}
+	e.conns = append(e.conns, c)
+	return true
+}
+
+// goDown closes the listener and all connections.
+func (e *lasting) goDown() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for _, c := range e.conns {
+		_ = c.Close()
+	}
+}
+
+func (e *lasting) serveConn(c *net.TCPConn) {
+	defer c.Close()
+	r := bufio.NewReaderSize(c, 1<<10)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		attempt := req.Header.Get("X-Request-Id")
+		if attempt == "cut" {
+			e.cut(e, c)
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		switch attempt {
+		case "framed":
+			_, err = io.WriteString(c, framedAnswer)
+		case "unframed":
+			_, _ = io.WriteString(c, unframedHead+unframedText)
+			return
+		default:
+			_, err = io.WriteString(c, aliveAnswer)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// history is the answers of an endpoint before the one that is cut.
+type history struct {
+	before []string
+
+	// kept is set if the last connection may be used again.
+	kept bool
+}
+
+var histories = map[string]history{
+	"first":                       {nil, false},
+	"after a framed one":          {[]string{"framed"}, false},
+	"after a framed one, kept":    {[]string{"framed"}, true},
+	"after an unframed one":       {[]string{"unframed"}, false},
+	"after an unframed one, kept": {[]string{"unframed"}, true},
+	"after both":                  {[]string{"unframed", "framed"}, false},
+	"after both, kept":            {[]string{"unframed", "framed", "framed"}, true},
+}
+
+// countWhole makes the calls of a history, and the one that is cut, at endpoints of their own. It
+// returns the number of cut answers that look whole.
+func countWhole(t *testing.T, rounds int, h history, body string, cut func(*lasting, *net.TCPConn)) int {
+	t.Helper()
+	var calls sync.WaitGroup
+	var whole atomic.Int32
+	for range rounds {
+		calls.Go(func() {
+			e := newLasting(t, cut)
+			c, stop := service.New()
+			defer stop()
+			call := service.Call{
+				Address:    netip.MustParseAddrPort(e.listener.Addr().String()),
+				Idempotent: h.kept,
+			}
+			for _, call.Attempt = range h.before {
+				if _, err := c.Do(t.Context(), call); err != nil {
+					t.Logf("%s: %v", call.Attempt, err)
+				}
+			}
+			call.Attempt = "cut"
+			call.Body = body
+			if _, err := c.Do(t.Context(), call); err == nil {
+				whole.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	return int(whole.Load())
+}
+
+// TestResetWithLastBytes guards against an answer that looks whole although its endpoint, which lives
+// on, reset the connection together with the last bytes.
+func TestResetWithLastBytes(t *testing.T) {
+	const rounds = 8
+	for name, h := range histories {
+		for when, pause := range map[string]time.Duration{"at once": 0, "later": 700 * time.Millisecond} {
+			t.Run(name+", "+when, func(t *testing.T) {
+				t.Parallel()
+				n := countWhole(t, rounds, h, "", func(_ *lasting, c *net.TCPConn) {
+					_, _ = io.WriteString(c, unframedHead+"pl")
+					time.Sleep(pause)
+					_, _ = io.WriteString(c, "a")
+					_ = c.SetLinger(0)
+				})
+				if n > 0 {
+					t.Errorf("%d of %d answers look whole", n, rounds)
+				}
+			})
+		}
+	}
+}
+
+// TestResetDuringUploadToLivingEndpoint guards against an answer that looks whole although its endpoint,
+// which lives on, reset the connection: a write of a large body gets the error.
+func TestResetDuringUploadToLivingEndpoint(t *testing.T) {
+	const rounds = 4
+	body := strings.Repeat("x", 6<<20)
+	for name, h := range histories {
+		for when, reset := range map[string]func(c *net.TCPConn){
+			"at once": func(*net.TCPConn) {},
+			"reads":   func(c *net.TCPConn) { _, _ = io.CopyN(io.Discard, c, 3<<20) },
+			"later": func(c *net.TCPConn) {
+				time.Sleep(100 * time.Millisecond)
+				_, _ = io.CopyN(io.Discard, c, 1<<20)
+				_, _ = io.WriteString(c, "c")
+			},
+		} {
+			t.Run(name+", "+when, func(t *testing.T) {
+				n := countWhole(t, rounds, h, body, func(_ *lasting, c *net.TCPConn) {
+					_, _ = io.WriteString(c, unframedHead+"pla")
+					reset(c)
+					_ = c.SetLinger(0)
+				})
+				if n > 0 {
+					t.Errorf("%d of %d answers look whole", n, rounds)
+				}
+			})
+		}
+	}
+}
+
+// TestEndOfEndpointThatGoesDown guards against an answer that is cut and looks whole because its
+// endpoint, which closes its connections one after the other, still answers on another one.
+func TestEndOfEndpointThatGoesDown(t *testing.T) {
+	const rounds = 4
+	for name, h := range histories {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := countWhole(t, rounds, h, "", func(e *lasting, c *net.TCPConn) {
+				_, _ = io.WriteString(c, unframedHead+"pla")
+				time.AfterFunc(20*time.Millisecond, e.goDown)
+			})
+			if n > 0 {
+				t.Errorf("%d of %d answers look whole", n, rounds)
+			}
+		})
+	}
+}
+
+// TestEndOfLivingEndpoint guards against a whole answer that is given up although its endpoint lives on.
+func TestEndOfLivingEndpoint(t *testing.T) {
+	const rounds = 4
+	for name, h := range histories {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := countWhole(t, rounds, h, "", func(_ *lasting, c *net.TCPConn) {
+				_, _ = io.WriteString(c, unframedHead+unframedText)
+			})
+			if n < rounds {
+				t.Errorf("%d of %d answers look whole", n, rounds)
+			}
+		})
+	}
+}
