io/endpoint, io/service: an answer on a kept connection has no companion

Callers saw a cut answer of a service as whole if it had another status than 200, neither a length nor chunks, and a kept connection. A process that leaves serves its kept connections while another one has its address. The companion was opened at that address, and so was the new connection for the question, so that the other process confirmed the end.

Answers on kept connections are not confirmed now, as on the main path; the call counts as broken, and an idempotent one is tried again. Calls to an endpoint that has answered without framing use new connections, so that this is the first such answer of an endpoint at the most.

--- a/io/endpoint/end.go
+++ b/io/endpoint/end.go
@@ -17,9 +17,11 @@
 	pool    *Pool
 	address netip.AddrPort
 
-	// mu guards the fields below. companion is nil if there is none.
+	// mu guards the fields below. companion is nil if there is none. kept is set if the
+	// connection of the call was used before.
 	mu        sync.Mutex
 	companion *origin.Companion
+	kept      bool
 	closed    bool
 }
 
@@ -32,15 +34,25 @@
 	}
 	// The connection of the call comes first, and the companion before the call is sent.
 	return e, httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { e.accompany(ctx) },
+		GotConn: func(info httptrace.GotConnInfo) { e.gotConn(ctx, info) },
 	})
 }
 
-// accompany opens a companion; net/http may get a second connection for a call.
-func (e *End) accompany(ctx context.Context) {
-	companion := e.pool.companions.Accompany(ctx, e.address)
+// gotConn opens the companion of a call, unless its connection was used before: a process that leaves
+// serves these while another one may have its address. net/http may get a second connection for a call.
+func (e *End) gotConn(ctx context.Context, info httptrace.GotConnInfo) {
+	var companion *origin.Companion
+	if !info.Reused {
+		companion = e.pool.companions.Accompany(ctx, e.address)
+	}
+	e.setCompanion(companion, info.Reused)
+}
+
+// setCompanion replaces the companion.
+func (e *End) setCompanion(companion *origin.Companion, kept bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.kept = kept
 	if e.closed {
 		companion.Close()
 		return
@@ -62,11 +74,15 @@
 
 // Confirmed reports whether the endpoint, which has just ended the connection of the answer in
 // order, answers another request; any answer will do. It is asked on the companion. Only if there
-// was none a new connection will do, although it may be one of another process.
+// was none a new connection will do, although it may be one of another process; after an answer on
+// a kept connection nothing does.
 func (e *End) Confirmed(ctx context.Context) bool {
 	e.mu.Lock()
-	companion := e.companion
+	companion, kept := e.companion, e.kept
 	e.mu.Unlock()
+	if kept {
+		return false
+	}
 	if !companion.Settle(ctx) {
 		if companion.Counted() {
 			return false
--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -335,6 +335,12 @@
 	return true
 }
 
+// AnswersUnframed reports whether the endpoint at an address is known to have answered without framing.
+// Calls whose answers may end with their connection need new ones then, see End.
+func (p *Pool) AnswersUnframed(address netip.AddrPort) bool {
+	return p.companions.AnswersUnframed(address)
+}
+
 // Suspect records that a connection to address stopped responding: until its idle
 // connections have expired, calls to the address use new ones.
 func (p *Pool) Suspect(address netip.AddrPort) {
--- a/io/service/cut_test.go
+++ b/io/service/cut_test.go
@@ -233,10 +233,62 @@
 	}
 }
 
+// succeed lets another process take over the address of an endpoint.
+func succeed(t *testing.T, e *lasting) {
+	_ = e.listener.Close()
+	again, err := net.Listen("tcp", e.listener.Addr().String())
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	t.Cleanup(func() { _ = again.Close() })
+	go (&lasting{
+		cut: func(_ *lasting, c *net.TCPConn) { _, _ = io.WriteString(c, aliveAnswer) },
+	}).serve(again)
+}
+
+// TestSuccessorBesideKeptConnection guards against an answer that is cut and looks whole because a
+// process answers that has had the address since before the request was sent: its endpoint has left
+// and still serves the connections that were kept.
+func TestSuccessorBesideKeptConnection(t *testing.T) {
+	for name, before := range map[string][]string{
+		"framed ones": {"framed"},
+		"both":        {"unframed", "framed", "framed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newLasting(t, func(e *lasting, c *net.TCPConn) {
+				_, _ = io.WriteString(c, unframedHead+"pla")
+				e.goDown()
+			})
+			c, stop := service.New()
+			defer stop()
+			call := service.Call{
+				Address:    netip.MustParseAddrPort(e.listener.Addr().String()),
+				Idempotent: true,
+			}
+			for _, call.Attempt = range before {
+				if _, err := c.Do(t.Context(), call); err != nil {
+					t.Fatal(err)
+				}
+			}
+			succeed(t, e)
+			call.Attempt = "cut"
+			if a, err := c.Do(t.Context(), call); err == nil && a.Body == "pla" {
+				t.Errorf("%+v looks whole", a)
+			}
+		})
+	}
+}
+
 // TestEndOfLivingEndpoint guards against a whole answer that is given up although its endpoint lives on.
+// Only the first without framing may be, if its connection was kept.
 func TestEndOfLivingEndpoint(t *testing.T) {
 	const rounds = 4
 	for name, h := range histories {
+		if name == "after a framed one, kept" {
+			continue
+		}
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			n := countWhole(t, rounds, h, "", func(_ *lasting, c *net.TCPConn) {
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -140,7 +140,8 @@
 	if err != nil {
 		return Answer{}, newError(endpoint.Declined, err)
 	}
-	transport := c.pool.Transport(call.Address, call.NewConnection || !call.Idempotent)
+	unshared := call.NewConnection || !call.Idempotent || c.pool.AnswersUnframed(call.Address)
+	transport := c.pool.Transport(call.Address, unshared)
 	res, err := transport.RoundTrip(req)
 	if err != nil {
 		return Answer{}, c.newError(watchdog, call, err)
