io/service, io/endpoint, io/origin: no new connection confirms the end of an answer

Callers saw a cut answer of a service as whole if it had another status than 200 and neither a length nor chunks, as the first of its endpoint or the first after framed ones. There was no companion then, and any answer on a new connection confirmed the end, also one of a process that had taken over the address.

Such an answer gets its companion as its head arrives now, and only an answer on a companion confirms. A process that takes over the address later doesn't have it. Where there are too many companions, nothing confirms, as on the main path. Answers of 200 mark their own end and need none.

--- a/io/endpoint/end.go
+++ b/io/endpoint/end.go
@@ -72,22 +72,25 @@
 	return framed
 }
 
+// Accompany opens the companion of an answer whose end Confirmed will be asked for, if there was none
+// when the call was sent.
+func (e *End) Accompany(ctx context.Context) {
+	e.mu.Lock()
+	missing := !e.kept && !e.companion.Counted()
+	e.mu.Unlock()
+	if missing {
+		e.setCompanion(e.pool.companions.AccompanyAnswer(ctx, e.address), false)
+	}
+}
+
 // Confirmed reports whether the endpoint, which has just ended the connection of the answer in
-// order, answers another request; any answer will do. It is asked on the companion. Only if there
-// was none a new connection will do, although it may be one of another process; after an answer on
-// a kept connection nothing does.
+// order, answers another request on the companion; any answer will do. Without one nothing confirms it.
 func (e *End) Confirmed(ctx context.Context) bool {
 	e.mu.Lock()
-	companion, kept := e.companion, e.kept
+	companion := e.companion
 	e.mu.Unlock()
-	if kept {
-		return false
-	}
 	if !companion.Settle(ctx) {
-		if companion.Counted() {
-			return false
-		}
-		companion = nil
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -98,8 +101,6 @@
 		Host:      e.address.String(),
 		Header:    http.Header{},
 		Companion: companion,
-
-		NewConnection: true,
 	})
 	if err != nil {
 		return false
--- a/io/service/cut_test.go
+++ b/io/service/cut_test.go
@@ -247,6 +247,26 @@
 	}).serve(again)
 }
 
+// TestSuccessorWithinAnswer guards against an answer that is cut and looks whole because a process
+// answers that took over the address of its endpoint while it was running.
+func TestSuccessorWithinAnswer(t *testing.T) {
+	const rounds = 4
+	for name, h := range histories {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := countWhole(t, rounds, h, "", func(e *lasting, c *net.TCPConn) {
+				_, _ = io.WriteString(c, unframedHead+"pla")
+				time.Sleep(300 * time.Millisecond)
+				succeed(t, e)
+				e.goDown()
+			})
+			if n > 0 {
+				t.Errorf("%d of %d answers look whole", n, rounds)
+			}
+		})
+	}
+}
+
 // TestSuccessorBesideKeptConnection guards against an answer that is cut and looks whole because a
 // process answers that has had the address since before the request was sent: its endpoint has left
 // and still serves the connections that were kept.
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -147,7 +147,10 @@
 		return Answer{}, c.newError(watchdog, call, err)
 	}
 	defer res.Body.Close()
-	framed := end.Framed(res)
+	marked := end.Framed(res) || res.StatusCode == http.StatusOK
+	if !marked {
+		end.Accompany(ctx)
+	}
 	if res.StatusCode == http.StatusOK {
 		watchdog.Accept()
 	} else {
@@ -168,7 +171,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, newError(endpoint.Broken, errTooLong)
 	}
-	if res.StatusCode != http.StatusOK && !framed && !end.Confirmed(ctx) {
+	if !marked && !end.Confirmed(ctx) {
 		return Answer{}, trace.Wrap(&endpoint.Error{
 			Failure:    endpoint.Broken,
 			Status:     res.StatusCode,
