io/service, KNOWN-RED: a failing test of a process that takes over in a call

The first answer without framing of an endpoint on the other path gets its companion as its head arrives. If another process has taken over the address since the request was sent, it confirms the end of an answer that is cut as its endpoint ends.

--- a/io/service/cut_test.go
+++ b/io/service/cut_test.go
@@ -267,6 +267,25 @@
 	}
 }
 
+// TestSuccessorBeforeAnswer guards against an answer that is cut and looks whole because a process
+// answers that took over the address of its endpoint after the request and before the answer.
+func TestSuccessorBeforeAnswer(t *testing.T) {
+	const rounds = 4
+	for name, h := range histories {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := countWhole(t, rounds, h, "", func(e *lasting, c *net.TCPConn) {
+				succeed(t, e)
+				_, _ = io.WriteString(c, unframedHead+"pla")
+				e.goDown()
+			})
+			if n > 0 {
+				t.Errorf("%d of %d answers look whole", n, rounds)
+			}
+		})
+	}
+}
+
 // TestSuccessorBesideKeptConnection guards against an answer that is cut and looks whole because a
 // process answers that has had the address since before the request was sent: its endpoint has left
 // and still serves the connections that were kept.
