--- a/io/origin/companion.go
+++ b/io/origin/companion.go
@@ -105,7 +105,7 @@
 // another pool, which exists already. It returns nil unless the endpoint is known to answer without
 // framing, see Framed, or if there are too many or it isn't taken in time. The companion must be closed.
 func (p *Pool) Accompany(ctx context.Context, to netip.AddrPort) *Companion {
-	if _, unframed := p.framing(to); !unframed {
+	if !p.AnswersUnframed(to) {
 		return nil
 	}
 	return p.accompany(ctx, way{
@@ -113,6 +113,22 @@
 	})
 }
 
+// AccompanyAnswer opens the companion of an answer that has begun without framing, directly on a
+// connection of another pool that was made for its request. It confirms the answer unless another
+// process has taken over the address since the request was sent. AccompanyAnswer returns nil if there
+// are too many. The companion must be closed.
+func (p *Pool) AccompanyAnswer(ctx context.Context, to netip.AddrPort) *Companion {
+	return p.openCompanion(ctx, way{
+		addr: to,
+	}, maxCompanionsPerAddress)
+}
+
+// AnswersUnframed reports whether an endpoint is known to have answered without framing, see Framed.
+func (p *Pool) AnswersUnframed(addr netip.AddrPort) bool {
+	_, unframed := p.framing(addr)
+	return unframed
+}
+
 // framing reports whether the framing of an endpoint is known, and whether it answers without.
 func (p *Pool) framing(addr netip.AddrPort) (known, unframed bool) {
 	p.mu.Lock()
@@ -124,8 +140,7 @@
 // needsCompanion reports whether a request needs a new connection, beside which a companion counts:
 // its endpoint is known to answer without framing.
 func (p *Pool) needsCompanion(r Request) bool {
-	_, unframed := p.framing(r.Address)
-	return r.Confirm != nil && unframed
+	return r.Confirm != nil && p.AnswersUnframed(r.Address)
 }
 
 // accompany opens a companion, unless the endpoint is known to frame its answers.
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -140,13 +140,17 @@
 	if err != nil {
 		return Answer{}, newError(endpoint.Declined, err)
 	}
-	transport := c.pool.Transport(call.Address, call.NewConnection || !call.Idempotent)
+	unshared := call.NewConnection || !call.Idempotent || c.pool.AnswersUnframed(call.Address)
+	transport := c.pool.Transport(call.Address, unshared)
 	res, err := transport.RoundTrip(req)
 	if err != nil {
 		return Answer{}, c.newError(watchdog, call, err)
 	}
 	defer res.Body.Close()
-	framed := end.Framed(res)
+	marked := end.Framed(res) || res.StatusCode == http.StatusOK
+	if !marked {
+		end.Accompany(ctx)
+	}
 	if res.StatusCode == http.StatusOK {
 		watchdog.Accept()
 	} else {
@@ -167,7 +171,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, newError(endpoint.Broken, errTooLong)
 	}
-	if res.StatusCode != http.StatusOK && !framed && !end.Confirmed(ctx) {
+	if !marked && !end.Confirmed(ctx) {
 		return Answer{}, trace.Wrap(&endpoint.Error{
 			Failure:    endpoint.Broken,
 			Status:     res.StatusCode,
