io/tcp: a failure that a read has returned is returned by each further read

A second read of a connection that was reset saw an orderly end: the kernel reports the reset once, and Conn kept for its reads only what a write had got. Readers above drop such a report (bufio.Reader.ReadLine within a line) or read again. No caller is known to have seen it: a read that followed one is refused elsewhere so far.

Conn keeps the first failure of a read as well.

--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -14,15 +15,15 @@
 const stateClosed = 7
 
 // Conn is a connection whose reads report that it failed. The kernel reports a failure only
-// once: after a write has got it, a read of a plain connection sees an orderly end. Create
-// it with NewConn.
+// once: after a write or a read has got it, a read of a plain connection sees an orderly end.
+// Create it with NewConn.
 type Conn struct {
 	net.Conn
 
-	// writing is held during each write. failed is the failure that one of them reported;
-	// nil if there is none.
+	// writing is held during each write. failed is the first failure that a write or a read
+	// reported; nil if there is none.
 	writing sync.Mutex
-	failed  error
+	failed  atomic.Pointer[error]
 }
 
 // NewConn returns a Conn over a connection.
@@ -37,22 +38,31 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
-	if isFailure(err) {
-		c.failed = err
-	}
+	c.note(err)
 	return n, err
 }
 
-// isFailure reports whether an error of a write is a failure of the connection that a read
+// note keeps the first failure.
+func (c *Conn) note(err error) {
+	if err == nil || !isFailure(err) {
+		return
+	}
+	failed := err
+	c.failed.CompareAndSwap(nil, &failed)
+}
+
+// isFailure reports whether an error is a failure of the connection that another read
 // does not report as well. EPIPE follows an orderly end, or a failure that was reported.
 func isFailure(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && !errors.Is(err, syscall.EPIPE)
 }
 
-// Read implements net.Conn. Its end is io.EOF only if the peer ended the connection in order.
+// Read implements net.Conn. Its end is io.EOF only if the peer ended the connection in order,
+// however often it is called.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.note(err)
 	if !errors.Is(err, io.EOF) || !c.isClosed() {
 		return n, err
 	}
@@ -62,12 +72,15 @@
 	return n, err
 }
 
-// failure returns the failure that a write reported. The connection must be closed, so that
-// a write that is under way ends at once.
+// failure returns the failure that a write or a read reported. The connection must be closed,
+// so that a write that is under way ends at once.
 func (c *Conn) failure() error {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.failed
+	if failed := c.failed.Load(); failed != nil {
+		return *failed
+	}
+	return nil
 }
 
 // isClosed reports whether nothing can be sent any more. After an orderly end of the peer's
