core/edge, relay: the time of a confirmation is no latency of the endpoint

Endpoints that answer plainly without framing looked up to several times slower than others, and got fewer requests: the 100 ms that a confirmation waits counted as the time to the first part of the answer.

That time ends now where the connection of the answer ended.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -89,6 +89,9 @@
 	// Event is set if the part is the first complete event of a stream; the event is
 	// not passed on to the caller before it is posted.
 	Event bool
+
+	// Confirming is how long the end of the answer, which has arrived since, was being confirmed.
+	Confirming time.Duration
 }
 
 // HeadReceived is the event of the header of an answer. It is needed only if the
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -287,13 +287,13 @@
 	}
 	r.endpoint.prefill -= r.uncachedTokens
 	r.answerStarted = true
-	r.firstLatency = e.now.Sub(r.sentAt)
+	r.firstLatency = e.now.Sub(r.sentAt) - ev.Confirming
 	e.link.clear.add(e.now, r.firstLatency)
 	e.releaseSpare(r)
 	r.endpoint.heardAt = e.now
 	e.recordAnswer(r)
 	r.endpoint.recordReachable()
-	r.endpoint.recordLatency(e.now.Sub(r.sentAt), r.expectedCost/r.expectedSlowdown)
+	r.endpoint.recordLatency(r.firstLatency, r.expectedCost/r.expectedSlowdown)
 	e.gossip.loadChanged = true
 	if ev.Event {
 		e.streamBegins(r)
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -328,6 +328,9 @@
 
 // Ending is how the connection ended that ends the body of an answer.
 type Ending struct {
+	// At is when it ended.
+	At time.Time
+
 	// Quiet is the time from the last bytes to the end.
 	Quiet time.Duration
 
@@ -846,6 +849,7 @@
 // confirmEnd reports whether the end of the connection is that of the answer.
 func (a *Answer) confirmEnd() bool {
 	a.ending = &Ending{
+		At:        time.Now(),
 		Quiet:     time.Since(a.received),
 		Companion: a.companion.Age(),
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -559,9 +559,14 @@
 		outcome.Err = causeUnsealed
 		return outcome
 	}
+	var confirming time.Duration
+	if e := answer.Ending(); e != nil {
+		confirming = time.Since(e.At)
+	}
 	p.relay.postEvent(edge.AnswerStarted{
-		Request: d.Request,
-		Attempt: d.Attempt,
+		Request:    d.Request,
+		Attempt:    d.Attempt,
+		Confirming: confirming,
 	})
 	if len(body) == maxBufferedBytes {
 		return p.forwardLong(answer, body)
