relay: a report whose end isn't confirmed counts if it can be parsed

Callers got 502 for a whole answer whose endpoint had ended the companion, if it makes its reports without framing, as its answers: nothing confirms the end of a report, and it counted as unreadable. A report is one object of JSON, which can't be parsed if it is cut.

--- a/relay/instance.go
+++ b/relay/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -91,9 +92,25 @@
 	return out, nil
 }
 
+// reportText reads a report that may end with its connection: one that is cut can't be parsed.
+type reportText struct {
+	*origin.Answer
+}
+
+// Read implements io.Reader.
+func (r reportText) Read(b []byte) (int, error) {
+	n, err := r.Answer.Read(b)
+	if errors.Is(err, origin.ErrUnconfirmed) {
+		err = io.EOF
+	}
+	return n, err
+}
+
 // parseReport returns the start time in a report, whose body takes room of a holding.
 func parseReport(answer *origin.Answer, holding *quota.Holding) (int64, error) {
-	text, err := holding.ReadAll(answer, platform.MaxReportBytes+1)
+	text, err := holding.ReadAll(reportText{
+		Answer: answer,
+	}, platform.MaxReportBytes+1)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
