router, io/service: log by what the end of an answer was confirmed

An answer of a service with another status than 200 that has neither a length nor chunks ends with its connection, on the other path as well, and its endpoint is asked whether it runs on. No line told what came of that. connection_ended does now, one for each such attempt, with the fields of the main path that there are.

--- a/daemon/runner.go
+++ b/daemon/runner.go
@@ -95,6 +95,7 @@
 		Body:          a.Request.Body,
 		Timeout:       a.IdleTimeout,
 		OnHead:        onHead(a),
+		OnEnding:      a.OnEnding,
 	})
 	if err != nil {
 		return failureResult(err)
--- a/io/endpoint/end.go
+++ b/io/endpoint/end.go
@@ -6,7 +6,9 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync"
+	"time"
 
+	"waxwingwall"
 	"waxwingwall/io/origin"
 )
 
@@ -23,6 +25,12 @@
 	companion *origin.Companion
 	kept      bool
 	closed    bool
+
+	// late is set if the companion was opened after the call was sent.
+	late bool
+
+	// ending is set by Confirmed.
+	ending waxwingwall.Ending
 }
 
 // WatchEnd returns an End for the call to an address that is made with the returned context. It must
@@ -81,6 +89,7 @@
 	if missing {
 		e.setCompanion(e.pool.companions.AccompanyAnswer(ctx, e.address), false)
 	}
+	e.late = missing
 }
 
 // Confirmed reports whether the endpoint, which has just ended the connection of the answer in
@@ -89,11 +98,17 @@
 	e.mu.Lock()
 	companion := e.companion
 	e.mu.Unlock()
+	began := time.Now()
+	e.ending = waxwingwall.Ending{
+		Accompanied: !e.late && companion.Opened(),
+	}
+	defer func() { e.ending.Took = time.Since(began) }()
 	if !companion.Settle(ctx) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
+	e.ending.Asked++
 	answer, err := e.pool.companions.Do(ctx, origin.Request{
 		Address:   e.address,
 		Method:    http.MethodHead,
@@ -105,10 +120,17 @@
 	if err != nil {
 		return false
 	}
+	e.ending.Status = answer.Status
+	e.ending.Confirmed = waxwingwall.ConfirmedByCompanion
 	answer.Close()
 	return true
 }
 
+// Ending returns how the answer ended, once Confirmed was called.
+func (e *End) Ending() waxwingwall.Ending {
+	return e.ending
+}
+
 // Close closes the companion.
 func (e *End) Close() {
 	e.mu.Lock()
--- a/io/service/cut_test.go
+++ b/io/service/cut_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"waxwingwall"
 	"waxwingwall/io/service"
 )
 
@@ -339,3 +340,57 @@
 		})
 	}
 }
+
+// TestEndingIsTold guards against an answer that ended with its connection and of which the log doesn't tell
+// by what the end was confirmed.
+func TestEndingIsTold(t *testing.T) {
+	byCompanion := waxwingwall.Ending{
+		Confirmed: waxwingwall.ConfirmedByCompanion,
+		Asked:     1,
+		Status:    http.StatusNotFound,
+	}
+	accompanied := byCompanion
+	accompanied.Accompanied = true
+	whole := func(_ *lasting, c *net.TCPConn) { _, _ = io.WriteString(c, unframedHead+unframedText) }
+	for name, test := range map[string]struct {
+		before []string
+		kept   bool
+		cut    func(*lasting, *net.TCPConn)
+		want   waxwingwall.Ending
+	}{
+		"first":              {nil, false, whole, byCompanion},
+		"after one":          {[]string{"unframed"}, false, whole, accompanied},
+		"kept":               {[]string{"framed"}, true, whole, waxwingwall.Ending{}},
+		"goes down at once":  {nil, false, func(e *lasting, c *net.TCPConn) { whole(e, c); e.goDown() }, waxwingwall.Ending{}},
+		"goes down after it": {[]string{"unframed"}, false, func(e *lasting, c *net.TCPConn) { whole(e, c); e.goDown() }, waxwingwall.Ending{Accompanied: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newLasting(t, test.cut)
+			c, stop := service.New()
+			defer stop()
+			var got []waxwingwall.Ending
+			call := service.Call{
+				Address:    netip.MustParseAddrPort(e.listener.Addr().String()),
+				Idempotent: test.kept,
+			}
+			for _, call.Attempt = range test.before {
+				if _, err := c.Do(t.Context(), call); err != nil {
+					t.Fatal(err)
+				}
+			}
+			call.Attempt = "cut"
+			call.OnEnding = func(e waxwingwall.Ending) { got = append(got, e) }
+			_, err := c.Do(t.Context(), call)
+			if len(got) != 1 {
+				t.Fatalf("told %d times, %v", len(got), err)
+			}
+			if got[0].Took < 0 {
+				t.Errorf("took %v", got[0].Took)
+			}
+			got[0].Took = 0
+			if got[0] != test.want || (err == nil) != (test.want.Confirmed != "") {
+				t.Errorf("told %+v, want %+v; %v", got[0], test.want, err)
+			}
+		})
+	}
+}
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -92,6 +92,10 @@
 	// if nobody is interested.
 	OnHead func(http.Header)
 
+	// OnEnding is called once an answer has ended with its connection; nil if nobody is
+	// interested.
+	OnEnding func(waxwingwall.Ending)
+
 	// Timeout overrides the Client's limit, if set.
 	Timeout time.Duration
 }
@@ -171,7 +175,7 @@
 	if len(body) > maxAnswerBytes {
 		return Answer{}, newError(endpoint.Broken, errTooLong)
 	}
-	if !marked && !end.Confirmed(ctx) {
+	if !marked && !confirmed(ctx, end, call) {
 		return Answer{}, trace.Wrap(&endpoint.Error{
 			Failure:    endpoint.Broken,
 			Status:     res.StatusCode,
@@ -201,6 +205,15 @@
 	}, nil
 }
 
+// confirmed reports whether the end of an answer's connection is that of the answer.
+func confirmed(ctx context.Context, end *endpoint.End, call Call) bool {
+	ok := end.Confirmed(ctx)
+	if call.OnEnding != nil {
+		call.OnEnding(end.Ending())
+	}
+	return ok
+}
+
 func (c *Client) newError(watchdog *endpoint.Watchdog, call Call, err error) error {
 	f := watchdog.Failure(err)
 	if f == endpoint.IdleTimeout {
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -90,6 +90,7 @@
 		NewConnection: t.start.NewConnection,
 		IdleTimeout:   attemptIdleTimeout,
 		OnLimit:       t.reportLimit,
+		OnEnding:      t.logEnding,
 	}, t.emit)
 	if t.truncated {
 		res = waxwingwall.AttemptResult{
@@ -112,6 +113,13 @@
 	})
 }
 
+// logEnding logs how the answer ended with its connection.
+func (t *attempt) logEnding(e waxwingwall.Ending) {
+	t.router.log.WithField("attempt", t.id).WithField("endpoint", t.start.Endpoint).
+		WithField("confirmed", e.Confirmed).WithField("asked", e.Asked).WithField("status", e.Status).
+		WithField("took", e.Took).WithField("accompanied", e.Accompanied).Info("connection_ended")
+}
+
 // reportLimit reports the limit that the endpoint names in the header of its answer, or
 // that it names none any more.
 func (t *attempt) reportLimit(text string) {
--- a/runner.go
+++ b/runner.go
@@ -31,6 +31,9 @@
 	// OnLimit is called once the header of the answer has arrived, with the text of the
 	// limit that the endpoint names (see ParseRateLimit); empty if it names none.
 	OnLimit func(text string)
+
+	// OnEnding is called once an answer has ended with its connection.
+	OnEnding func(Ending)
 }
 
 // Failure classifies how an attempt failed.
@@ -59,6 +62,24 @@
 	FailureCancelled
 )
 
+// ConfirmedByCompanion is the Ending.Confirmed of an answer whose endpoint answered another request on a
+// connection that was open beside that of the answer.
+const ConfirmedByCompanion = "companion"
+
+// Ending is how an answer ended with its connection, for logging.
+type Ending struct {
+	// Confirmed is what confirmed that the endpoint meant it to end; empty if nothing did. Asked
+	// counts the questions; Status is that of the answer to the last one, zero if there was none;
+	// Took is the time for all.
+	Confirmed string
+	Asked     int
+	Status    int
+	Took      time.Duration
+
+	// Accompanied is set if the companion was open before the request was sent.
+	Accompanied bool
+}
+
 // AttemptResult is the result of an attempt.
 type AttemptResult struct {
 	// Failure is FailureNone if the answer is complete.
