core: a reservation is free once its request's end is in the log

What a request had not used of its reservation was free from the moment of its end, before the settle record was stable. A closer that finds the begin record alone bills an order with its whole reservation, and what other requests spent of it meanwhile may be billed as well, so a budget could be overspent by the difference. The prefix of one log excludes that, but not what comes from several copies of a log: the table's and those of late claims, or an owner of a slot that moved during the run and bills by itself.

The reservation is held until the settle or abandon record is stable, that of an order that used less until the record is filed. An order mostly uses all of it, so little is held for longer.

An overspent budget was not seen in a test.

--- a/core/claim/ledger.go
+++ b/core/claim/ledger.go
@@ -295,6 +295,16 @@
 	l.appendAndWait(now, e)
 }
 
+// Head returns the number of the last own record.
+func (l *Ledger) Head() int64 {
+	return l.log.head
+}
+
+// FiledThrough returns the number of the last own record in the table.
+func (l *Ledger) FiledThrough() int64 {
+	return l.log.filed
+}
+
 // running returns the entry of a request that is running here, or nil.
 func (l *Ledger) running(id waxwingwall.Identity) *entry {
 	e := l.claims[id]
--- a/core/node.go
+++ b/core/node.go
@@ -72,6 +72,9 @@
 	closers  []*escrow.Closer
 	leaving  leavingTable
 
+	// held are reservations of requests that have ended.
+	held []heldReservation
+
 	// document is the active configuration; its version is 0 before the first
 	// one.
 	document config.Document
@@ -164,6 +167,9 @@
 // takeActions steps the ledger and the scheduler while they need it and returns the
 // actions of this step.
 func (n *Node) takeActions(now time.Time) []effect.Action {
+	if len(n.held) > 0 {
+		n.releaseFiled(now)
+	}
 	for n.stepLedger || n.stepScheduler {
 		if n.stepLedger {
 			n.stepLedger = false
@@ -237,7 +243,7 @@
 	case claim.Refused:
 		n.claimRefused(now, a.Identity, a.Problem)
 	case claim.Settled:
-		n.claimSettled(a.Identity)
+		n.claimSettled(now, a.Identity)
 	case claim.Closed:
 		n.closeIncarnation("node row closed")
 	case claim.PeerClosed:
@@ -341,7 +347,7 @@
 // drainStep returns the budget shares once no requests remain and none can arrive for
 // this node's slots.
 func (n *Node) drainStep(now time.Time) {
-	if len(n.requests) == 0 && !n.Ledger.HandsOff() {
+	if len(n.requests) == 0 && len(n.held) == 0 && !n.Ledger.HandsOff() {
 		n.Book.Drain(now)
 	}
 }
--- a/core/node_test.go
+++ b/core/node_test.go
@@ -305,6 +305,53 @@
 	w.Audit([]*fake.Client{c}, paid)
 }
 
+// TestReservationHeldUntilEndIsStable guards against a reservation that is free before its
+// request's end is in the log: whoever closes the owner then bills the reservation, and
+// what others spent of it in the meantime as well.
+func TestReservationHeldUntilEndIsStable(t *testing.T) {
+	w, document, paid := startFleet(t, 4, 3, 1000)
+	w.Run(5 * time.Second)
+	c := &fake.Client{
+		Request:  request(t, document, 1),
+		MaxTries: 1,
+	}
+	w.Submit(c)
+	id := c.Request.Identity
+	for range 10_000 {
+		if w.Runs[id] > 0 {
+			break
+		}
+		w.Run(time.Millisecond)
+	}
+	var owner *fake.Host
+	for _, h := range w.Hosts {
+		if h.Node.Book.Balance("small-main").Reserved > 0 {
+			owner = h
+		}
+	}
+	if owner == nil {
+		t.Fatal("no router holds the reservation")
+	}
+	w.Outage = true
+	for _, a := range w.Hosts {
+		for _, b := range w.Hosts {
+			w.Partitioned[[2]waxwingwall.VM{a.VM, b.VM}] = true
+		}
+	}
+	w.Run(5 * time.Second)
+	if got := owner.Node.Book.Balance("small-main"); got.Reserved != c.Request.WorstCase() || got.Settled != 0 {
+		t.Errorf("reserved %d, settled %d before the end is stable; want %d and 0", got.Reserved, got.Settled, c.Request.WorstCase())
+	}
+	w.Outage = false
+	clear(w.Partitioned)
+	w.Run(10 * time.Second)
+	if got := owner.Node.Book.Balance("small-main"); got.Reserved != 0 || got.Settled == 0 {
+		t.Errorf("reserved %d, settled %d at the end; want 0 and the bill", got.Reserved, got.Settled)
+	}
+	w.Settle()
+	w.Audit([]*fake.Client{c}, paid)
+}
+
 func anyDead(w *fake.World) bool {
 	for _, h := range w.Hosts {
 		if h.Dead {
--- a/core/request.go
+++ b/core/request.go
@@ -33,6 +33,9 @@
 	// reserved is the amount that the book holds for the request.
 	reserved waxwingwall.Tokens
 
+	// actual is what the request has used of it, once phase is settling.
+	actual waxwingwall.Tokens
+
 	// alreadyBilled is set for a request that runs again, without a claim or a
 	// reservation, because its output was lost with its owner after it was billed.
 	alreadyBilled bool
@@ -240,7 +243,6 @@
 		})
 		return
 	}
-	n.release(now, q, 0)
 	if q.phase == recording || q.recorded {
 		n.Ledger.Abandon(now, id)
 		n.stepLedger = true
@@ -250,6 +252,7 @@
 		}
 		return
 	}
+	n.release(now, q, 0)
 	delete(n.requests, id)
 	n.finish(id, waxwingwall.End{
 		Problem: p,
--- a/core/settle.go
+++ b/core/settle.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"waxwingwall"
@@ -34,9 +35,9 @@
 		end.Output = q.output
 	}
 	q.end = end
-	n.release(now, q, result.Tokens)
+	q.actual = result.Tokens
 	if q.alreadyBilled {
-		n.claimSettled(q.Identity)
+		n.claimSettled(now, q.Identity)
 		return
 	}
 	n.stepLedger = true
@@ -48,16 +49,44 @@
 }
 
 // claimSettled delivers the final answer of a request whose claim is settled or
-// abandoned.
-func (n *Node) claimSettled(id waxwingwall.Identity) {
+// abandoned. What it did not use is free only now, or once the end is filed: whoever
+// finds the begin record of an order alone bills the reservation.
+func (n *Node) claimSettled(now time.Time, id waxwingwall.Identity) {
 	q := n.requests[id]
 	if q == nil || q.phase != settling {
 		return
 	}
 	delete(n.requests, id)
+	if !q.Idempotent && q.reserved > q.actual {
+		n.held = append(n.held, heldReservation{
+			request: q,
+			through: n.Ledger.Head(),
+		})
+	} else {
+		n.release(now, q, q.actual)
+	}
 	n.finish(id, q.end)
 }
 
+// heldReservation is the reservation of a request that has ended, until the table has
+// the log through a record.
+type heldReservation struct {
+	request *request
+	through int64
+}
+
+// releaseFiled releases the reservations whose records are filed.
+func (n *Node) releaseFiled(now time.Time) {
+	filed := n.Ledger.FiledThrough()
+	n.held = slices.DeleteFunc(n.held, func(h heldReservation) bool {
+		if h.through > filed {
+			return false
+		}
+		n.release(now, h.request, h.request.actual)
+		return true
+	})
+}
+
 // callerLeft cancels a request whose caller has left and bills the output so far. A
 // caller with a key may retry to get the complete answer.
 func (n *Node) callerLeft(now time.Time, e CallerLeft) {
