io/caller: the rest of a refused body is not read as the next request

A body that was refused in the middle, for want of memory, was answered with 503 on a connection that stayed open, and what was left of the body was read as the next request: its caller got a second answer, "400 Bad Request", for its next request or for none, and each such connection held up to 1 MiB of head.

limitBody replaced the body of the server's own request. By that body the server tells that it was closed before its end; with another one it took the body for read. The handler now gets a copy of the request, so the answer says "Connection: close" and the connection ends.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -154,8 +154,7 @@
 // whole answer was written or the write of it failed.
 func (h *handler) serve(server http.Handler, f *flusher, r *http.Request, held *quota.Holding) {
 	defer h.answerPanic(r.Context(), f, r)
-	limitBody(f.ResponseWriter, r, held, h.api.BodyTimeout())
-	server.ServeHTTP(f, r)
+	server.ServeHTTP(f, limitBody(f.ResponseWriter, r, held, h.api.BodyTimeout()))
 }
 
 // answerPanic answers a request whose handler panicked. If its answer had begun, it closes
@@ -179,13 +178,16 @@
 	h.log.WithField("panic", fmt.Sprint(v)).WithField("stack", string(debug.Stack())).Error("handler_panicked")
 }
 
-// limitBody limits the size of a body and the time that it may take to arrive. Without a
-// body the server waits for the caller to leave, and a deadline would look like that.
-func limitBody(w http.ResponseWriter, r *http.Request, held *quota.Holding, timeout time.Duration) {
+// limitBody returns a request whose body is limited in size and in the time that it may
+// take to arrive. Without a body the server waits for the caller to leave, and a deadline
+// would look like that. The server's own request keeps its body: by that it knows whether the
+// rest of one is still on the connection.
+func limitBody(w http.ResponseWriter, r *http.Request, held *quota.Holding, timeout time.Duration) *http.Request {
 	if r.Body == http.NoBody {
-		return
+		return r
 	}
-	r.Body = &heldBody{
+	limited := r.WithContext(r.Context())
+	limited.Body = &heldBody{
 		ReadCloser: http.MaxBytesReader(w, r.Body, maxBodyBytes),
 		held:       held,
 	}
@@ -193,6 +195,7 @@
 		// The server removes the deadline from the connection once the body is read.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 	}
+	return limited
 }
 
 // heldBody is a body whose reader keeps all of it.
--- a/io/caller/limit_test.go
+++ b/io/caller/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -127,3 +128,56 @@
 		t.Errorf("%d bytes in memory, want at most %d", m.HeapAlloc, maxMemory)
 	}
 }
+
+// TestRestOfRefusedBodyIsNoRequest guards against a connection on which the rest of a body that
+// was refused in the middle is read as the next request.
+func TestRestOfRefusedBodyIsNoRequest(t *testing.T) {
+	const holders, sent = 3, 7 << 20
+	handler, err := caller.New(slowRouter{
+		limit: 5 * time.Second,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	body := bytes.Repeat([]byte("x\n"), sent/2)
+	post := func() net.Conn {
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", sent+1); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	for range holders {
+		c := post()
+		defer c.Close()
+		if _, err := c.Write(body); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c := post()
+	defer c.Close()
+	go func() { _, _ = c.Write(body) }()
+	answers := bufio.NewReader(c)
+	res, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+		t.Errorf("status %d, closes %t; want %d and true", res.StatusCode, res.Close, http.StatusServiceUnavailable)
+	}
+	if err := c.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if second, err := http.ReadResponse(answers, nil); err == nil {
+		t.Errorf("second answer: %s", second.Status)
+		second.Body.Close()
+	}
+}
