io/origin, core/edge: log whether a connection was closed as its answer ended

A reset whose report something else has taken is logged like an end in order. After the one nothing can be sent any more, after the other it can: connection_ended has that as closed. Nothing is decided by it, since an endpoint may also reset a connection that it has ended in order. The question is no longer asked once the request's time is over.

--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -150,6 +150,9 @@
 	// Quiet is the time from the last bytes to the end of the connection.
 	Quiet time.Duration
 
+	// Closed is set if nothing could be sent on the connection any more, as after a reset.
+	Closed bool
+
 	// Companion is how long the companion had been open at the end, zero if there was none.
 	// Outlived is set if it was open for some time after the end, too.
 	Companion time.Duration
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -592,7 +592,7 @@
 	e.log("connection_ended", r.call.ID,
 		field("attempt", ev.Attempt), field("endpoint", target.replica.Endpoint), field("confirmed", confirmation(ev)),
 		field("asked", ev.Ending.Asked), field("status", ev.Ending.Status), field("took", ev.Ending.Took), field("quiet", ev.Ending.Quiet),
-		field("companion", ev.Ending.Companion), field("outlived", ev.Ending.Outlived))
+		field("closed", ev.Ending.Closed), field("companion", ev.Ending.Companion), field("outlived", ev.Ending.Outlived))
 }
 
 // since returns the time from start to end; zero if end is zero.
--- a/io/origin/companion.go
+++ b/io/origin/companion.go
@@ -185,6 +185,7 @@
 	select {
 	case <-time.After(outliveTime):
 	case <-ctx.Done():
+		return false
 	}
 	if c == nil {
 		return false
--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -334,6 +334,9 @@
 	// Quiet is the time from the last bytes to the end.
 	Quiet time.Duration
 
+	// Closed is set if nothing could be sent any more then, as after a reset.
+	Closed bool
+
 	// Companion is how long the companion had been open, zero if there was none. Outlived is set
 	// if it was open for some time after the end, too.
 	Companion time.Duration
@@ -608,6 +611,12 @@
 	return tcp.Idle(c.Conn)
 }
 
+// closed reports whether nothing can be sent on a connection any more.
+func (c *conn) closed() bool {
+	t, ok := c.Conn.(interface{ IsClosed() bool })
+	return ok && t.IsClosed()
+}
+
 // CloseExpired closes idle connections that have expired.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
@@ -851,6 +860,7 @@
 	a.ending = &Ending{
 		At:        time.Now(),
 		Quiet:     time.Since(a.received),
+		Closed:    a.conn.closed(),
 		Companion: a.companion.Age(),
 	}
 	if a.confirm == nil || !a.conn.tellsEnd() {
--- a/io/tcp/conn.go
+++ b/io/tcp/conn.go
@@ -63,7 +63,7 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.note(err)
-	if !errors.Is(err, io.EOF) || !c.isClosed() {
+	if !errors.Is(err, io.EOF) || !c.IsClosed() {
 		return n, err
 	}
 	if failed := c.failure(); failed != nil {
@@ -83,9 +83,9 @@
 	return nil
 }
 
-// isClosed reports whether nothing can be sent any more. After an orderly end of the peer's
-// side that is still possible.
-func (c *Conn) isClosed() bool {
+// IsClosed reports whether nothing can be sent any more, as after a reset. After an orderly end of
+// the peer's side that is still possible.
+func (c *Conn) IsClosed() bool {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return false
--- a/relay/ending_log_test.go
+++ b/relay/ending_log_test.go
@@ -34,7 +34,7 @@
 		f.callAs(f.relays[0], id, "key", "/order/"+id, "", 0, 0)
 	}
 	for id, want := range map[string][]string{
-		"companion": {`"msg":"served"`, `"confirmed":"companion"`, `"msg":"connection_ended"`, `"outlived":true`, `"status":404`},
+		"companion": {`"msg":"served"`, `"confirmed":"companion"`, `"msg":"connection_ended"`, `"outlived":true`, `"status":404`, `"closed":false`},
 		"none":      {`"msg":"attempt_ended"`, `"msg":"connection_ended"`, `"confirmed":""`, `"asked":2`},
 	} {
 		log := f.logOf(id)
--- a/relay/request.go
+++ b/relay/request.go
@@ -394,7 +394,8 @@
 	}
 	outcome.Framing = framing(answer)
 	if e := answer.Ending(); e != nil {
-		ending.Quiet, ending.Companion, ending.Outlived = e.Quiet, e.Companion, e.Outlived
+		ending.Quiet, ending.Closed = e.Quiet, e.Closed
+		ending.Companion, ending.Outlived = e.Companion, e.Outlived
 		outcome.Ending = &ending
 	}
 	if outcome.Result == edge.Broken || outcome.Result != edge.Complete && answer.Status < http.StatusMultipleChoices {
