io/origin: an answer without framing gets its companion beside 64 others as well

Since nothing but a companion confirms such an answer on the other path, whole ones were given up if more than 64 ran at one endpoint, or if it took longer than 50 ms to connect to it: answers whose head has come were held to the limits that keep requests which may need no companion from taking connections.

They have the limit of all companions together and the time of other dials now; the answer is there, and nothing is held up but the reading of it.

TestCutAnswerIsNoSuccess of daemon, whose 320 cells run at once, failed in 3 of 32 runs before (1 or 4 processors, load of 20) with "201 Created, in order: whole, but broken", and in 0 of 32 now. No test covers the time to connect.

--- a/io/origin/companion.go
+++ b/io/origin/companion.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"waxwingwall/io/tcp"
 )
 
 const (
@@ -53,17 +55,17 @@
 
 // openCompanion opens a companion, or returns nil if there are too many. One that the endpoint doesn't
 // take in time has no connection.
-func (p *Pool) openCompanion(ctx context.Context, w way, limit int) *Companion {
+func (p *Pool) openCompanion(ctx context.Context, w way, limit int, wait time.Duration) *Companion {
 	if !p.reserveCompanion(w.addr, limit) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, companionWait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	c := &Companion{
 		pool: p,
 		way:  w,
 	}
-	if conn, err := p.dial(ctx, w, companionWait, unobserved); err == nil {
+	if conn, err := p.dial(ctx, w, wait, unobserved); err == nil {
 		c.conn = conn
 		c.since = time.Now()
 	}
@@ -116,11 +118,11 @@
 // AccompanyAnswer opens the companion of an answer that has begun without framing, directly on a
 // connection of another pool that was made for its request. It confirms the answer unless another
 // process has taken over the address since the request was sent. AccompanyAnswer returns nil if there
-// are too many. The companion must be closed.
+// are too many at all addresses together. The companion must be closed.
 func (p *Pool) AccompanyAnswer(ctx context.Context, to netip.AddrPort) *Companion {
 	return p.openCompanion(ctx, way{
 		addr: to,
-	}, maxCompanionsPerAddress)
+	}, maxCompanions, tcp.DialTimeout)
 }
 
 // AnswersUnframed reports whether an endpoint is known to have answered without framing, see Framed.
@@ -152,7 +154,7 @@
 	case !known:
 		limit = maxFirstCompanions
 	}
-	return p.openCompanion(ctx, w, limit)
+	return p.openCompanion(ctx, w, limit, companionWait)
 }
 
 // Framed records whether the end of an answer is known without that of its connection. An endpoint
--- a/io/service/cut_test.go
+++ b/io/service/cut_test.go
@@ -394,3 +394,35 @@
 		})
 	}
 }
+
+// TestEndsOfManyAnswers guards against whole answers that are given up because many end with their
+// connections at one endpoint at a time.
+func TestEndsOfManyAnswers(t *testing.T) {
+	const answers = 100
+	var begun, calls sync.WaitGroup
+	begun.Add(answers)
+	e := newLasting(t, func(_ *lasting, c *net.TCPConn) {
+		_, _ = io.WriteString(c, unframedHead+unframedText)
+		begun.Done()
+		begun.Wait()
+		time.Sleep(200 * time.Millisecond)
+	})
+	c, stop := service.New()
+	defer stop()
+	var whole atomic.Int32
+	for range answers {
+		calls.Go(func() {
+			_, err := c.Do(t.Context(), service.Call{
+				Address: netip.MustParseAddrPort(e.listener.Addr().String()),
+				Attempt: "cut",
+			})
+			if err == nil {
+				whole.Add(1)
+			}
+		})
+	}
+	calls.Wait()
+	if n := whole.Load(); n < answers {
+		t.Errorf("%d of %d answers are whole", n, answers)
+	}
+}
