--- a/io/tcp/accept_test.go
+++ b/io/tcp/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -13,11 +14,11 @@
 type failing struct {
 	net.Listener
 	errs   []error
-	closed bool
+	closed atomic.Bool
 }
 
 func (l *failing) Accept() (net.Conn, error) {
-	if l.closed {
+	if l.closed.Load() {
 		return nil, net.ErrClosed
 	}
 	if len(l.errs) == 0 {
@@ -30,7 +31,7 @@
 }
 
 func (l *failing) Close() error {
-	l.closed = true
+	l.closed.Store(true)
 	return nil
 }
 
