relay, io/endpoint: an endpoint may be silent for 2 s when it is asked whether it runs on

Callers lost the end of whole answers without framing, and whole plain ones, if their endpoint was silent for more than 500 ms just after them: the question was given up then. A sound endpoint may be silent for 2 s anywhere else.

TestSilentEndpointConfirms failed in 3 of 3 runs and passes in 3 of 3.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -228,8 +228,9 @@
 	idleConnTimeout = 30 * time.Second
 	maxIdlePerHost  = 64
 
-	// confirmTimeout limits the wait for a sign that an endpoint still runs.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout limits the wait for a sign that an endpoint still runs. A sound one may be silent
+	// for as long.
+	confirmTimeout = 2 * time.Second
 
 	// maxHeadBytes limits the head of an answer.
 	maxHeadBytes = 64 << 10
--- a/relay/confirm_test.go
+++ b/relay/confirm_test.go
@@ -170,3 +170,20 @@
 		}
 	}
 }
+
+// TestSilentEndpointConfirms guards against a whole answer that is given up because its endpoint is
+// silent for a moment when it is asked whether it runs on.
+func TestSilentEndpointConfirms(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	f.serveConns("order", func(_ net.Listener, c *net.TCPConn, next func() *http.Request) {
+		if strings.HasPrefix(next().RequestURI, "/order") {
+			write(c, standin.SealedHead("200 OK")+"\r\nplaced")
+			return
+		}
+		time.Sleep(time.Second)
+		write(c, notFound)
+	})
+	if a := f.call(f.relays[0], "order", "", 0, 0); a.status != http.StatusOK || a.err != nil {
+		t.Errorf("got %+v", a)
+	}
+}
--- a/relay/instance.go
+++ b/relay/instance.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// confirmTimeout limits the wait for a sign that an endpoint still runs.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout limits the wait for a sign that an endpoint still runs. A sound one may be silent
+	// for as long.
+	confirmTimeout = 2 * time.Second
 
 	// confirmTries limits how often it is asked for one, and confirmPause is the time between
 	// two tries.
