platform, core/edge: routers without requests read the endpoints' changes less often

Cause: each sign of life of an endpoint ends a read of the changes, so that a router reads about as often as its client allows, whether callers use it or not; 60 of 71 routers serve next to nobody. Change: after 2 s without a request a router leaves an eighth of endpoint_drain between two reads, at most 0.4 s, and takes that off the time for which the store holds the next read, so that the age of a list is bounded as before.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -127,10 +127,11 @@
 	view    *member.View
 	closers []*closeTask
 
-	// The tables.
+	// The tables. lastArrival is when the last request came.
 	config       configIndex
 	endpoints    endpoints
 	requests     map[uint64]*request
+	lastArrival  time.Time
 	retryBudgets map[waxwingwall.Model]*retryBudget
 	crashes      crashTracker
 	nodes        nodes
@@ -333,6 +334,7 @@
 	e.removeMissing()
 	e.expireWaits()
 	e.logOverdue()
+	e.logReadPause()
 	e.versionStep()
 	e.drainStep()
 }
--- a/relay/control.go
+++ b/relay/control.go
@@ -122,6 +122,7 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
+		readPause:    r.edge.ReadPause(now),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
 	})
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -49,7 +49,7 @@
 const maxEndpoints = 1000
 
 // newMetrics creates the instruments in a separate registry.
-func newMetrics(queueLength func() int, endpointsAge func() time.Duration, links func() peer.LinksStats, waiting func() quota.Stats) (*metrics, error) {
+func newMetrics(queueLength func() int, endpointsAge, readPause func() time.Duration, links func() peer.LinksStats, waiting func() quota.Stats) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
 		return nil, err
@@ -73,6 +73,13 @@
 	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_age", metric.WithUnit("s"), metric.WithFloat64Callback(observeAge), metric.WithDescription("Time since the router last had all changes of the endpoints.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	observePause := func(_ context.Context, o metric.Float64Observer) error {
+		o.Observe(readPause().Seconds())
+		return nil
+	}
+	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_read_pause", metric.WithUnit("s"), metric.WithFloat64Callback(observePause), metric.WithDescription("Time between two reads of the endpoints' changes; zero while the router has requests.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err = observeLinks(meter, links); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -155,8 +155,9 @@
 	addresses  []netip.AddrPort
 	addressTTL time.Duration
 
-	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
-	endpointsAge time.Duration
+	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot, readPause
+	// edge.Edge.ReadPause.
+	endpointsAge, readPause time.Duration
 
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
@@ -242,6 +243,7 @@
 	if r.metrics, err = newMetrics(
 		func() int { return len(r.inbox) },
 		func() time.Duration { return r.sharedState.Load().endpointsAge },
+		func() time.Duration { return r.sharedState.Load().readPause },
 		func() peer.LinksStats { return r.links.Stats() },
 		r.waitingStats,
 	); err != nil {
@@ -254,6 +256,7 @@
 		platform.WithPartitions(edge.Partition, edge.Partitions()),
 		platform.WithEraObserver(r.reportEra),
 		platform.WithMemory(r.settings.MemoryBytes),
+		platform.WithReplicaPause(func() time.Duration { return r.sharedState.Load().readPause }),
 	)
 	r.closers = append(r.closers, cleanup)
 	r.origins, cleanup = origin.New(origin.WithDialObserver(r.reportDial), origin.WithDial(r.dial))
