--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -127,11 +127,11 @@
 	view    *member.View
 	closers []*closeTask
 
-	// The tables. lastArrival is when the last request came.
+	// The tables.
 	config       configIndex
 	endpoints    endpoints
 	requests     map[uint64]*request
-	lastArrival  time.Time
+	arrivalRate  arrivalRate
 	retryBudgets map[waxwingwall.Model]*retryBudget
 	crashes      crashTracker
 	nodes        nodes
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -154,8 +154,8 @@
 	// partsExpiredAt is when expireParts last forgot old parts.
 	partsExpiredAt time.Time
 
-	// loggedPause is the last ReadPause in the log.
-	loggedPause time.Duration
+	// readsSeldom is set while ReadPause is at its longest, as logged.
+	readsSeldom bool
 }
 
 func (t *endpoints) init() {
