core/edge, platform: empty a failure domain on the operator's request

Cause: rows evacuate/DOMAIN in the operator's table were not read, so requests went on to endpoints of domains that were to be empty. Change: the watch of the operator's table also delivers the complete set of domains. An endpoint in one of them is not usable; requests that wait for a connection to it are withheld; reports and news between routers have the set with the store's revision; a router whose set is too old while a peer's is not refuses requests.

--- a/core/edge/behind.go
+++ b/core/edge/behind.go
@@ -142,7 +142,9 @@
 
 // answerAskNews sends a peer the state that is newer than its own.
 func (e *Edge) answerAskNews(to waxwingwall.Incarnation, m AskNews) {
-	var n News
+	n := News{
+		Evacuations: e.evacuationState(),
+	}
 	if e.config.version > m.Version {
 		n.Configuration = e.config.configuration
 	}
@@ -167,6 +169,7 @@
 		e.log("message_rejected", "", field("peer", waxwingwall.Excerpt(from.String())), field("message", "news"), field("cause", waxwingwall.Excerpt(err.Error())))
 		return
 	}
+	e.learnEvacuations(from, m.Evacuations)
 	e.applyConfiguration(m.Configuration, "peer")
 	t := &e.endpoints
 	m.Replicas = validReplicas(m.Replicas)
--- a/core/edge/confirm.go
+++ b/core/edge/confirm.go
@@ -101,7 +101,7 @@
 // not, it is asked.
 func (e *Edge) instanceKnown(row *endpoint, since time.Time) bool {
 	id, born := row.replica.Endpoint, row.replica.Born
-	if born == 0 {
+	if born == 0 || row.evacuated {
 		return true
 	}
 	last := e.versions.reports[id]
--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -34,6 +34,9 @@
 	// Tunneled is set while requests reach the endpoint through peers.
 	Tunneled bool `json:"tunneled"`
 
+	// Evacuated is set while the failure domain is to be empty.
+	Evacuated bool `json:"evacuated"`
+
 	// Announced is set if the endpoint said in an answer that it leaves.
 	Announced bool `json:"announced"`
 
@@ -80,6 +83,11 @@
 	// Requests counts the requests in flight.
 	Requests int `json:"requests"`
 
+	// Evacuations are what is known of failure domains that are to be empty; EvacuatedSince is
+	// since when they are at this router, in their order.
+	Evacuations    EvacuationState `json:"evacuations"`
+	EvacuatedSince []time.Time     `json:"evacuated_since"`
+
 	// Endpoints are grouped by service and sorted by name.
 	Endpoints []EndpointState `json:"endpoints"`
 
@@ -113,6 +121,10 @@
 		Draining:   !e.drainStart.IsZero(),
 		Slots:      e.guard.Rows(),
 	}
+	s.Evacuations = e.evacuationState()
+	for _, d := range s.Evacuations.Domains {
+		s.EvacuatedSince = append(s.EvacuatedSince, e.evacuations.since[d])
+	}
 	for _, service := range e.config.configuration.Services {
 		if declines, brittle := e.guard.Declines(service.Name); brittle {
 			s.Brittle = append(s.Brittle, BrittleState{
@@ -129,6 +141,7 @@
 				Slowdown:     row.slowdown,
 				Backoff:      max(row.backoffUntil.Sub(now), 0),
 				Tunneled:     row.tunneled,
+				Evacuated:    row.evacuated,
 				Announced:    row.announced,
 				Paused:       e.pauses.left(now, row.replica),
 				Missing:      !row.missingSince.IsZero(),
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -92,6 +92,10 @@
 	// EndpointDrain is how long after the store acknowledged that an endpoint leaves
 	// a request may still reach it; zero selects the default.
 	EndpointDrain time.Duration
+
+	// Evacuate is how long after the store acknowledged that a failure domain is to be empty a
+	// request may still reach its endpoints; zero selects the default.
+	Evacuate time.Duration
 }
 
 // Option configures an Edge.
@@ -139,6 +143,7 @@
 	link         link
 	reach        reach
 	departures   departures
+	evacuations  evacuations
 	versions     versions
 
 	announcements announcements
@@ -288,6 +293,8 @@
 		e.handleCallerLeft(ev)
 	case Configured:
 		e.applyConfiguration(ev.Configuration, "store")
+	case Evacuated:
+		e.handleEvacuated(ev)
 	case Replicas:
 		e.handleReplicas(ev)
 	case Nodes:
@@ -330,6 +337,7 @@
 	e.notices.Expire(e.now)
 	e.expireMarks()
 	e.expireNotices()
+	e.evacuationStep()
 	e.removeMissing()
 	e.expireWaits()
 	e.logOverdue()
@@ -427,5 +435,6 @@
 		b.Grace = min(b.Grace, e.bounds.Grace)
 	}
 	b.EndpointDrain = cmp.Or(b.EndpointDrain, defaultEndpointDrain)
+	b.Evacuate = cmp.Or(b.Evacuate, defaultEvacuate)
 	e.bounds = b
 }
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -66,6 +66,11 @@
 	// paused is set while this instance has asked this router for a pause.
 	paused bool
 
+	// evacuated is set while the failure domain is to be empty; returnsAt is when its load
+	// began to return after that, zero if it has.
+	evacuated bool
+	returnsAt time.Time
+
 	// failures counts consecutive failures of connections; until backoffUntil, the
 	// endpoint is avoided while others are available.
 	failures     int
@@ -129,6 +134,10 @@
 	// paths is the result of Paths; nil if it is out of date.
 	paths map[netip.AddrPort]bool
 
+	// evacuated are the instances in failure domains that are to be empty, as of paths, with the
+	// time until which nothing is sent to them; nil if there are none.
+	evacuated map[Instance]time.Time
+
 	// revision is the store's revision of rows; complete is set once rows have
 	// been replaced by a full snapshot.
 	revision int64
@@ -255,6 +264,7 @@
 		t.add(row)
 		row.tunneled = e.isCut(r.Service)
 		e.applyNotices(row)
+		e.applyEvacuations(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.endpointListed(r.Endpoint, r.Service, 0, buildOf(r))
 		e.log("endpoint_listed", "",
@@ -291,6 +301,7 @@
 	t.paths = nil
 	old.build = buildOf(r)
 	e.applyNotices(old)
+	e.applyEvacuations(old)
 	e.endpointListed(r.Endpoint, r.Service, before, old.build)
 	if moved {
 		t.add(old)
@@ -393,7 +404,7 @@
 
 // usable reports whether an endpoint may receive new requests.
 func (r *endpoint) usable() bool {
-	return !r.departing() && !r.paused
+	return !r.departing() && !r.paused && !r.evacuated
 }
 
 // listed reports whether a usable endpoint has an entry in the store. A missing
--- a/core/edge/freshness.go
+++ b/core/edge/freshness.go
@@ -116,10 +116,10 @@
 	return e.staleFrom() - currentLead
 }
 
-// mayDispatch reports whether the list of endpoints is good enough to dispatch
-// requests by it.
+// mayDispatch reports whether the list of endpoints and the evacuations are good enough to
+// dispatch requests by them.
 func (e *Edge) mayDispatch() bool {
-	return e.listUsable() || e.peersStale() || e.alone() && e.link.clear.longEnough(e.now)
+	return !e.evacuationsStale() && (e.listUsable() || e.peersStale() || e.alone() && e.link.clear.longEnough(e.now))
 }
 
 // listUsable reports whether a request may be dispatched by the list of endpoints whatever the
@@ -166,7 +166,11 @@
 	if !e.listUsable() {
 		return e.now.Add(sendReserve)
 	}
-	return e.endpoints.asOf.Add(e.bounds.EndpointDrain - arriveReserve)
+	by := e.endpoints.asOf.Add(e.bounds.EndpointDrain - arriveReserve)
+	if evacuated := e.evacuations.asOf.Add(e.bounds.Evacuate - arriveReserve); evacuated.After(e.now.Add(sendReserve)) && evacuated.Before(by) {
+		return evacuated
+	}
+	return by
 }
 
 // wantsClearProbe reports whether the router needs another round trip to know
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -106,6 +106,9 @@
 
 	// Suspects are the blocked parts of prompts, for peers that missed the crashes.
 	Suspects []quarantine.Suspect
+
+	// Evacuations are what the sender knows of failure domains that are to be empty.
+	Evacuations EvacuationState
 }
 
 // Sizes of messages and their parts for the queues of links, in bytes: an entry with its
@@ -117,7 +120,7 @@
 
 // Size returns the approximate size of the report in bytes.
 func (m Report) Size() int {
-	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects))
+	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects)) + m.Evacuations.size()
 }
 
 // PartRead is a prompt part that an endpoint has read.
@@ -154,12 +157,16 @@
 	// of the endpoints in the store. Asked is zero if it has not had any, and from earlier
 	// versions of this program.
 	Asked, Age time.Duration
+
+	// Evacuations are what the sender knows of failure domains that are to be empty. It goes
+	// with each configuration, so that no router sends by that alone.
+	Evacuations EvacuationState
 }
 
 // Size returns the approximate size of the news in bytes.
 func (m News) Size() int {
 	c := &m.Configuration
-	return messageBytes + 4*entryBytes*(len(m.Replicas)+len(c.Routes)+len(c.Services)+len(c.Accounts))
+	return messageBytes + 4*entryBytes*(len(m.Replicas)+len(c.Routes)+len(c.Services)+len(c.Accounts)) + m.Evacuations.size()
 }
 
 // Departures reports leaving endpoints without waiting for the next Report.
@@ -333,6 +340,7 @@
 		Departures:     append(e.announcements.list(e.now), e.departures.list(e.now)...),
 		Reads:          e.gossip.pendingReads,
 		Suspects:       e.crashes.parts.List(e.now),
+		Evacuations:    e.evacuationState(),
 	}
 	e.gossip.pendingReads = nil
 	for _, s := range e.config.configuration.Services {
@@ -407,6 +415,7 @@
 			return
 		}
 		e.recordReport(ev.From, m)
+		e.learnEvacuations(ev.From, m.Evacuations)
 		for _, read := range m.Reads {
 			if row := e.endpoints.rows[read.Endpoint]; row != nil {
 				row.parts[read.Part] = e.now
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -17,7 +17,7 @@
 	if row == nil {
 		return 0, false, false
 	}
-	return row.replica.Born, !row.departing(), true
+	return row.replica.Born, !row.departing() && !row.evacuated, true
 }
 
 // updateLimiter passes the routers to the limiter and the guard.
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -162,7 +162,9 @@
 	var all []netip.AddrPort
 	for _, s := range e.config.configuration.Services {
 		for _, row := range e.endpoints.byService[s.Name] {
-			all = append(all, row.replica.Address)
+			if !row.evacuated {
+				all = append(all, row.replica.Address)
+			}
 		}
 	}
 	if len(all) == 0 {
--- a/core/edge/news.go
+++ b/core/edge/news.go
@@ -31,6 +31,9 @@
 	if m.Asked < 0 || !isCount(m.Age, maxDuration) {
 		return fmt.Errorf("invalid time %v or age %v", m.Asked, m.Age)
 	}
+	if !m.Evacuations.valid() {
+		return fmt.Errorf("invalid evacuations of revision %d", m.Evacuations.Revision)
+	}
 	for i := range c.Routes {
 		if !validRoute(&c.Routes[i]) {
 			return fmt.Errorf("invalid route %q", c.Routes[i].Name)
@@ -87,5 +90,5 @@
 			return false
 		}
 	}
-	return isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && isCount(m.EndpointsAge, maxDuration) && len(m.Reads) <= maxReads
+	return isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && isCount(m.EndpointsAge, maxDuration) && len(m.Reads) <= maxReads && m.Evacuations.valid()
 }
--- a/core/edge/pause.go
+++ b/core/edge/pause.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"maps"
 	"time"
 
 	"waxwingwall"
@@ -89,11 +90,11 @@
 }
 
 // pausedProblem returns the refusal of a request for which all endpoints are paused, with
-// the time at which the first pause ends; nil if another endpoint is there.
+// the time at which the first pause ends, or evacuated; nil if another endpoint is there.
 func (e *Edge) pausedProblem(r *request) *waxwingwall.Problem {
 	var first time.Time
 	for _, row := range e.endpoints.byService[r.service] {
-		if row.departing() || r.pin.set && row.build != r.pin.build {
+		if row.departing() || row.evacuated || r.pin.set && row.build != r.pin.build {
 			continue
 		}
 		if !row.paused {
@@ -104,18 +105,23 @@
 		}
 	}
 	if first.IsZero() {
-		return nil
+		return e.evacuatedProblem(r)
 	}
 	return e.unavailableProblem("endpoints_paused", "all endpoints asked for a pause", first.Sub(e.now))
 }
 
 // Withheld returns the instances to which nothing may be sent now, each with the end of
-// that: a request may still wait for its connection when its endpoint is excluded.
+// that: a request may still wait for its connection when its endpoint is excluded. The result
+// must not be changed.
 func (e *Edge) Withheld(now time.Time) map[Instance]time.Time {
+	e.Paths()
 	if len(e.pauses.rows) == 0 && len(e.announcements.rows) == 0 {
-		return nil
+		return e.endpoints.evacuated
+	}
+	all := maps.Clone(e.endpoints.evacuated)
+	if all == nil {
+		all = map[Instance]time.Time{}
 	}
-	all := map[Instance]time.Time{}
 	for id, p := range e.pauses.rows {
 		all[Instance{Endpoint: id, Born: p.born}] = p.until
 	}
--- a/core/edge/placement.go
+++ b/core/edge/placement.go
@@ -91,7 +91,7 @@
 func (e *Edge) choose(r *request, accept func(*endpoint) bool) (placement, bool) {
 	var best placement
 	rows := e.endpoints.byService[r.service]
-	preferred := e.preferredEndpoint(rows, r.affinityPart(), accept)
+	preferred := e.preferredEndpoint(rows, r, accept)
 	count := 0
 	for _, row := range rows {
 		if !accept(row) || r.tried[row.replica.Endpoint] {
@@ -110,14 +110,15 @@
 // preferredEndpoint returns the accepted endpoint to which a part is assigned by
 // rendezvous hashing. The order of the endpoints is the same at all routers, so
 // they need not exchange where a part is cached.
-func (e *Edge) preferredEndpoint(rows []*endpoint, part uint64, accept func(*endpoint) bool) *endpoint {
+func (e *Edge) preferredEndpoint(rows []*endpoint, r *request, accept func(*endpoint) bool) *endpoint {
+	part := r.affinityPart()
 	if part == 0 {
 		return nil
 	}
 	var best *endpoint
 	var highest uint64
 	for _, row := range rows {
-		if !accept(row) || e.now.Before(row.backoffUntil) {
+		if !accept(row) || e.now.Before(row.backoffUntil) || !e.hasReturned(r, row) {
 			continue
 		}
 		if h := rendezvousHash(part, row.replica.Endpoint); best == nil || h > highest {
@@ -152,7 +153,9 @@
 	slowdown := max(row.slowdown, peerWeight*row.peerSlowdown)
 	failureRate := max(row.failureRate, peerWeight*row.peerFailureRate)
 	c.slowdown = slowdown
-	if s := e.config.services[r.service]; s != nil && s.Engine {
+	s := e.config.services[r.service]
+	engine := s != nil && s.Engine
+	if engine {
 		c.uncached = r.uncached(e.now, row)
 		queued := row.prefill + row.peerLoad.prefill
 		reread := max(c.uncached-r.unshared(), 0)
@@ -179,6 +182,9 @@
 	if e.now.Before(row.backoffUntil) {
 		c.cost += backoffCostMs
 	}
+	if !e.hasReturned(r, row) {
+		c.cost += returnCost(engine)
+	}
 	if row.tunneled {
 		c.cost += tunnelCostMs
 	}
--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -422,6 +422,9 @@
 		s.cut = false
 		return
 	}
+	if rows = notEvacuated(rows); len(rows) == 0 {
+		return
+	}
 	s.healedAt = e.now
 	s.tests++
 	e.probe(rows[s.tests%len(rows)])
@@ -430,7 +433,7 @@
 // testIdle tests the connections to a service of which the router has heard nothing for some
 // time, so that it notices a cut before its next caller does.
 func (e *Edge) testIdle(name waxwingwall.Model, s *serviceReach) {
-	rows := e.endpoints.byService[name]
+	rows := notEvacuated(e.endpoints.byService[name])
 	if s.testedAt.IsZero() {
 		s.testedAt = e.now
 	}
@@ -477,7 +480,7 @@
 // a service.
 func (e *Edge) testEndpoint(row *endpoint) {
 	s := e.reach.service(row.replica.Service)
-	if row.tunneled || e.now.Sub(s.testedAt) < silenceInterval {
+	if row.tunneled || row.evacuated || e.now.Sub(s.testedAt) < silenceInterval {
 		return
 	}
 	s.testedAt = e.now
@@ -596,14 +599,23 @@
 	return n
 }
 
-// Paths returns the addresses of all endpoints, each with whether this router reaches it
-// without a peer. The result must not be changed.
+// Paths returns the addresses of the endpoints to which a peer may make a tunnel, each with
+// whether this router reaches it without a peer. No new tunnel leads to an endpoint whose
+// failure domain is to be empty. The result must not be changed.
 func (e *Edge) Paths() map[netip.AddrPort]bool {
 	t := &e.endpoints
 	if t.paths == nil {
+		t.evacuated = nil
 		t.paths = make(map[netip.AddrPort]bool, len(t.rows))
 		for _, row := range t.rows {
-			t.paths[row.replica.Address] = !row.tunneled
+			if !row.evacuated {
+				t.paths[row.replica.Address] = !row.tunneled
+				continue
+			}
+			if t.evacuated == nil {
+				t.evacuated = map[Instance]time.Time{}
+			}
+			t.evacuated[Instance{Endpoint: row.replica.Endpoint, Born: row.replica.Born}] = e.now.Add(unlimited)
 		}
 	}
 	return t.paths
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -148,6 +148,14 @@
 		e.fail(r, DeadlineExceeded)
 		return
 	}
+	if e.evacuationsStale() {
+		if r.mayHaveRun() {
+			e.fail(r, Expired)
+			return
+		}
+		e.refuse(r, e.unavailableProblem(CodeOldEvacuations, "this router does not know which failure domains are to be empty", staleRetryAfter))
+		return
+	}
 	if !e.mayDispatch() {
 		if r.mayHaveRun() {
 			e.fail(r, Expired)
--- a/relay/control.go
+++ b/relay/control.go
@@ -294,6 +294,18 @@
 			lastUnreadable = c.Version
 			r.log.WithError(err).WithField("version", c.Version).Error("configuration_unreadable")
 		}
+	}, r.postEvacuations)
+}
+
+// postEvacuations posts the failure domains that are to be empty.
+func (r *Relay) postEvacuations(u platform.Evacuations) {
+	for _, err := range u.Unreadable {
+		r.log.WithError(err).WithField("revision", u.Revision).Warning("evacuation_unreadable")
+	}
+	r.postUpdate(edge.Evacuated{
+		Domains:  u.Domains,
+		Revision: u.Revision,
+		AsOf:     u.AsOf,
 	})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -311,6 +311,7 @@
 		Grace:         s.Grace,
 		AddressTTL:    s.Lifetime,
 		EndpointDrain: s.EndpointDrain,
+		Evacuate:      s.Evacuate,
 	}
 }
 
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -52,6 +52,10 @@
 	// a request may still reach it.
 	EndpointDrain time.Duration `json:"endpoint_drain"`
 
+	// Evacuate is how long after the store acknowledged that a failure domain is to be
+	// empty a request may still reach its endpoints.
+	Evacuate time.Duration `json:"evacuate"`
+
 	// Lifetime is the longest time that callers may cache the answer to a
 	// directory query.
 	Lifetime time.Duration `json:"lifetime"`
@@ -75,6 +79,7 @@
 	defaultGrace         = 8 * time.Second
 	defaultLifetime      = 2 * time.Second
 	defaultEndpointDrain = 2 * time.Second
+	defaultEvacuate      = 5 * time.Second
 	defaultRetryRatio    = 0.1
 	defaultRetryReserve  = 10
 	defaultRetryWindow   = 10 * time.Second
@@ -120,6 +125,7 @@
 		RetryReserve:  ini.Get(bounds, "retry_reserve", ini.Float(0, maxRetryReserve), defaultRetryReserve),
 		RetryWindow:   ini.Get(bounds, "retry_window", ini.Duration(time.Second, maxDuration), defaultRetryWindow),
 		EndpointDrain: ini.Get(bounds, "endpoint_drain", ini.Duration(time.Second, maxDuration), defaultEndpointDrain),
+		Evacuate:      ini.Get(bounds, "evacuate", ini.Duration(time.Second, maxDuration), defaultEvacuate),
 		Log:           readLog(f.FindOrAdd("log")),
 	}
 	if err := f.Err(); err != nil {
