--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -88,6 +88,9 @@
 	Evacuations    EvacuationState `json:"evacuations"`
 	EvacuatedSince []time.Time     `json:"evacuated_since"`
 
+	// EvacuationsDiffer are the peers that report here with another set.
+	EvacuationsDiffer []waxwingwall.Incarnation `json:"evacuations_differ"`
+
 	// Endpoints are grouped by service and sorted by name.
 	Endpoints []EndpointState `json:"endpoints"`
 
@@ -122,6 +125,7 @@
 		Slots:      e.guard.Rows(),
 	}
 	s.Evacuations = e.evacuationState()
+	s.EvacuationsDiffer = e.evacuationsDiffer()
 	for _, d := range s.Evacuations.Domains {
 		s.EvacuatedSince = append(s.EvacuatedSince, e.evacuations.since[d])
 	}
--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -131,8 +131,9 @@
 	staleLogged bool
 }
 
-// peerEvacuations is the age of the set of a peer as of receivedAt.
+// peerEvacuations is the set of a peer and its age as of receivedAt.
 type peerEvacuations struct {
+	domains    []waxwingwall.Domain
 	age        time.Duration
 	receivedAt time.Time
 }
@@ -175,6 +176,7 @@
 		t.peers = map[waxwingwall.Incarnation]peerEvacuations{}
 	}
 	t.peers[from] = peerEvacuations{
+		domains:    s.Domains,
 		age:        s.Age,
 		receivedAt: e.now,
 	}
@@ -330,6 +332,21 @@
 	}
 }
 
+// evacuationsDiffer returns the peers whose last report has another set than this router's.
+func (e *Edge) evacuationsDiffer() []waxwingwall.Incarnation {
+	own := e.evacuations.domains()
+	var all []waxwingwall.Incarnation
+	for from, p := range e.evacuations.peers {
+		if !slices.Equal(p.domains, own) {
+			all = append(all, from)
+		}
+	}
+	slices.SortFunc(all, func(a, b waxwingwall.Incarnation) int {
+		return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Boot, b.Boot))
+	})
+	return all
+}
+
 // evacuationsStale reports whether a failure domain may have to be empty for too long without
 // this router's knowledge, while a peer may know.
 func (e *Edge) evacuationsStale() bool {
--- a/core/edge/evacuation_test.go
+++ b/core/edge/evacuation_test.go
@@ -173,6 +173,10 @@
 	if s := h.edge.Dump(h.now); len(s.Evacuations.Domains) != 2 || s.Evacuations.Revision != 20 || len(s.EvacuatedSince) != 2 || !s.EvacuatedSince[0].Equal(h.now) {
 		t.Errorf("dump %+v since %v", s.Evacuations, s.EvacuatedSince)
 	}
+	h.fromPeer(Report{Evacuations: EvacuationState{Domains: []waxwingwall.Domain{"west"}, Revision: 19, Age: time.Second}})
+	if differ := h.edge.Dump(h.now).EvacuationsDiffer; len(differ) != 1 || differ[0].VM != "vm-2" {
+		t.Errorf("other sets at %v", differ)
+	}
 	h.evacuate(21, "east")
 	if _, out := h.arrive(call("order")); !has[Dispatch](out) {
 		t.Errorf("not sent to the only domain that is back: %+v", out)
--- a/relay/control.go
+++ b/relay/control.go
@@ -103,7 +103,11 @@
 // publish updates the state that is shared with other goroutines.
 func (r *Relay) publish(now time.Time) {
 	addresses, addressTTL := r.edge.RecentAddresses(now)
-	if previous := r.sharedState.Load(); previous == nil || !slices.Equal(previous.addresses, addresses) {
+	previous, evacuated := r.sharedState.Load(), r.edge.Evacuating()
+	if previous != nil && previous.evacuated != evacuated {
+		r.metrics.evacuated.Record(r.ctx, int64(evacuated))
+	}
+	if previous == nil || !slices.Equal(previous.addresses, addresses) {
 		r.logEntry(now, edge.LogEntry{
 			Event: "addresses_changed",
 			Fields: []edge.Field{
@@ -124,6 +128,7 @@
 		endpointsAge: r.edge.EndpointsAge(now),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
+		evacuated:    evacuated,
 	})
 }
 
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -32,6 +32,7 @@
 	closedTokens   metric.Int64Counter
 	retriesRefused metric.Int64Counter
 	oldList        metric.Int64Counter
+	evacuated      metric.Int64Gauge
 	omittedLines   metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
@@ -106,6 +107,9 @@
 	if m.oldList, err = meter.Int64Counter("waxwingwall.edge.old_list_refused", metric.WithDescription("Requests refused as the list of endpoints was too old.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.evacuated, err = meter.Int64Gauge("waxwingwall.edge.evacuated_domains", metric.WithDescription("Failure domains that are to be empty.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if m.omittedLines, err = meter.Int64Counter("waxwingwall.edge.log_lines_left_out", metric.WithDescription("Log lines left out as there were too many.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -123,6 +127,7 @@
 	}
 	m.retriesRefused.Add(context.Background(), 0)
 	m.oldList.Add(context.Background(), 0)
+	m.evacuated.Record(context.Background(), 0)
 	m.omittedLines.Add(context.Background(), 0)
 	m.addClosedTokens(func(string) int64 { return 0 })
 	return m, nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -163,6 +163,9 @@
 
 	// withheld are the instances to which nothing may be sent, see edge.Edge.Withheld.
 	withheld map[edge.Instance]time.Time
+
+	// evacuated counts the failure domains that are to be empty.
+	evacuated int
 }
 
 // job is work for the control goroutine: an event or a function to call.
