--- a/core/config/config.go
+++ b/core/config/config.go
@@ -23,6 +23,7 @@
 import (
 	"net/netip"
 	"sort"
+	"strings"
 	"time"
 
 	"waxwingwall"
@@ -171,8 +172,25 @@
 
 	// BodyTimeout is the maximum time for a request's body to arrive.
 	BodyTimeout time.Duration `json:"body_timeout"`
+
+	// EvacuatedDomains are the failure domains whose endpoints get no new requests, sorted,
+	// with ", " between them.
+	EvacuatedDomains string `json:"evacuated_domains,omitempty"`
+}
+
+// Evacuated reports whether endpoints in a failure domain get no new requests.
+func (l Limits) Evacuated(domain waxwingwall.Domain) bool {
+	for name := range strings.SplitSeq(l.EvacuatedDomains, domainSeparator) {
+		if name == string(domain) {
+			return true
+		}
+	}
+	return false
 }
 
+// domainSeparator separates the names in EvacuatedDomains.
+const domainSeparator = ", "
+
 // Account returns the client account with this name.
 func (d *Document) Account(name waxwingwall.Account) (Account, bool) {
 	i := sort.Search(len(d.Accounts), func(i int) bool { return d.Accounts[i].Name >= name })
--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -191,6 +191,8 @@
 			MaxOutput:     1000,
 			DefaultOutput: waxwingwall.Tokens(rapid.Int64Range(1, 1000).Draw(t, "output")),
 			BodyTimeout:   time.Duration(rapid.Int64Range(1, 1e4).Draw(t, "body")) * time.Millisecond,
+
+			EvacuatedDomains: rapid.SampledFrom([]string{"", "east", "east, west"}).Draw(t, "evacuated"),
 		},
 	}
 	for i := range rapid.IntRange(1, 4).Draw(t, "ranks") {
--- a/core/config/format.go
+++ b/core/config/format.go
@@ -50,6 +50,9 @@
 	fmt.Fprintf(b, "max_output = %d\n", l.MaxOutput)
 	fmt.Fprintf(b, "default_output = %d\n", l.DefaultOutput)
 	fmt.Fprintf(b, "body_timeout = %v\n", l.BodyTimeout)
+	if l.EvacuatedDomains != "" {
+		fmt.Fprintf(b, "evacuated_domains = %s\n", l.EvacuatedDomains)
+	}
 }
 
 func writeRank(b *strings.Builder, r Rank) {
--- a/core/config/parse.go
+++ b/core/config/parse.go
@@ -126,6 +126,9 @@
 		DefaultOutput: ini.Get(s, "default_output", tokens, defaultOutput),
 		BodyTimeout:   ini.Get(s, "body_timeout", ini.Duration(time.Millisecond, maxDuration), defaultBodyTimeout),
 	}
+	domains := ini.Get(s, "evacuated_domains", ini.List(ini.Name[string]), nil)
+	sort.Strings(domains)
+	p.doc.Limits.EvacuatedDomains = strings.Join(slices.Compact(domains), domainSeparator)
 	if p.doc.Limits.DefaultOutput > p.doc.Limits.MaxOutput {
 		s.Fail("default_output", "above max_output")
 	}
--- a/core/configure.go
+++ b/core/configure.go
@@ -46,7 +46,7 @@
 			Concurrency: e.Concurrency,
 			TokenRate:   e.TokenRate,
 			Version:     e.Version,
-			Leaving:     e.Leaving || slices.Contains(n.leaving.endpoints, e.Name),
+			Leaving:     e.Leaving || n.document.Limits.Evacuated(e.Domain) || slices.Contains(n.leaving.endpoints, e.Name),
 		})
 	}
 	return specs
