--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -281,8 +282,7 @@
 	e.endpoints.paths = nil
 }
 
-// evacuationStep takes back what was kept for a restored store, in time, and forgets peers
-// that are silent.
+// evacuationStep ends what is kept for a restored store, and forgets peers that are silent.
 func (e *Edge) evacuationStep() {
 	t := &e.evacuations
 	for from, p := range t.peers {
@@ -290,10 +290,17 @@
 			delete(t.peers, from)
 		}
 	}
-	next := make(map[waxwingwall.Domain]time.Time, len(t.since))
-	for d, since := range t.since {
-		next[d] = since
+	e.endKept()
+	if e.evacuationsStale() && !t.staleLogged {
+		t.staleLogged = true
+		e.log("evacuations_old", "", field("revision", t.revision), field("age", e.evacuationsAge()))
 	}
+}
+
+// endKept takes back what was kept for a restored store and is not there in time.
+func (e *Edge) endKept() {
+	t := &e.evacuations
+	next := maps.Clone(t.since)
 	for d, until := range t.kept {
 		if !e.now.Before(until) {
 			delete(t.kept, d)
@@ -303,10 +310,6 @@
 	if len(next) != len(t.since) {
 		e.setEvacuations(next, "return time")
 	}
-	if e.evacuationsStale() && !t.staleLogged {
-		t.staleLogged = true
-		e.log("evacuations_old", "", field("revision", t.revision), field("age", e.evacuationsAge()))
-	}
 }
 
 // evacuationsAge returns how long ago the set was last known to hold all changes; zero if
--- a/core/edge/evacuationfleet_test.go
+++ b/core/edge/evacuationfleet_test.go
@@ -83,7 +83,8 @@
 }
 
 // TestEvacuationInFleet guards against requests to a failure domain later than the bound after
-// the operator's request, beside one other failure each.
+// the operator's request, beside one other failure each, and against one that is taken back
+// unused though the only other one is to be empty.
 func TestEvacuationInFleet(t *testing.T) {
 	const routers = 9
 	restartAll := func(m *evacuationFleet) {
