--- a/core/edge/evacuationfleet_test.go
+++ b/core/edge/evacuationfleet_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"testing"
 	"time"
@@ -86,7 +87,12 @@
 // the operator's request, beside one other failure each, and against one that is taken back
 // unused though the only other one is to be empty.
 func TestEvacuationInFleet(t *testing.T) {
-	const routers = 9
+	const usual, large = 9, 72
+	turnThirdAway := func(m *evacuationFleet) {
+		for i := range len(m.routers) / 3 {
+			m.away[3*i] = true
+		}
+	}
 	restartAll := func(m *evacuationFleet) {
 		for i := range m.routers {
 			m.restart(i, 500*time.Millisecond)
@@ -94,17 +100,15 @@
 	}
 	for name, c := range map[string]struct {
 		before, after func(m *evacuationFleet)
+		routers       int
 	}{
 		"calm":               {},
 		"a router is killed": {after: func(m *evacuationFleet) { m.restart(3, 3*time.Second) }},
 		"routers are cut from each other": {before: func(m *evacuationFleet) {
 			m.cut = func(a, b int) bool { return a%2 != b%2 }
 		}},
-		"the store turns a third away": {before: func(m *evacuationFleet) {
-			for i := range routers / 3 {
-				m.away[3*i] = true
-			}
-		}},
+		"the store turns a third away":                  {before: turnThirdAway},
+		"the store turns a third of a large fleet away": {before: turnThirdAway, routers: large},
 		"a router that is turned away restarts": {before: func(m *evacuationFleet) { m.away[2] = true }, after: func(m *evacuationFleet) {
 			m.after(2*time.Second, func() { m.restart(2, time.Second) })
 		}},
@@ -117,6 +121,7 @@
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			routers := cmp.Or(c.routers, usual)
 			m := newEvacuationFleet(t, routers)
 			if n := len(m.sent); n < routers*5 || m.now.Sub(m.sent[n-1]) > 200*time.Millisecond {
 				t.Fatalf("%d requests were sent to the domain before", n)
