core/limit: a limit that ends by time, for cold endpoints

A cold endpoint tolerates a rate that its service names, for a time that its entry names. Its limit is held with the same rights and permits as one that an endpoint names, but has no notice: all routers learn it from the entry. If both are there the stricter is in force, and neither changes the other's number or end.

--- a/core/limit/gossip.go
+++ b/core/limit/gossip.go
@@ -90,6 +90,9 @@
 	if now.Sub(g.repairAt) >= repairInterval {
 		g.repairAt = now
 		all := l.Notices()
+		if len(all) == 0 {
+			return
+		}
 		var some []Notice
 		for range min(len(all), maxNotices) {
 			g.repairNext++
@@ -112,12 +115,17 @@
 // sendPool sends all notices of a service to a router that does not know them.
 func (l *Limiter) sendPool(to waxwingwall.Incarnation, name waxwingwall.Model) {
 	p := l.pool(name)
-	if p == nil || len(p.rows) == 0 {
+	if p == nil {
 		return
 	}
 	var all []Notice
 	for _, r := range p.rows {
-		all = append(all, r.notice)
+		if r.noticed() {
+			all = append(all, r.notice)
+		}
+	}
+	if len(all) == 0 {
+		return
 	}
 	l.send(to, Notices{
 		Notices: all,
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -15,6 +15,10 @@
 // that was read wrongly is corrected by the next answer. A limit also ends when its
 // endpoint is removed or restarts.
 //
+// A cold endpoint has a limit that ends by time (Cold). It has no notice: what says so is the
+// endpoint's entry, which all routers read. If the endpoint names a limit as well, the stricter
+// one is in force, and neither changes the other.
+//
 // # Rights and permits
 //
 // Of each limit, every registered router has an equal right, which it may use itself or
@@ -121,7 +125,7 @@
 	seed   uint64
 	rng    *rand.Rand
 
-	// rows are the endpoints with a notice; pools are sorted by name.
+	// rows are the endpoints with a notice and the cold ones; pools are sorted by name.
 	rows  map[waxwingwall.Endpoint]*row
 	pools []*pool
 
@@ -140,7 +144,7 @@
 	actions []effect.Action
 }
 
-// row is an endpoint with a notice.
+// row is an endpoint with a notice, or a cold one.
 type row struct {
 	notice Notice
 
@@ -150,6 +154,11 @@
 
 	// unsent is set until the notice was passed on.
 	unsent bool
+
+	// coldRate is the rate that the endpoint takes while it is cold, until coldUntil; zero
+	// if it isn't. The number of notice is zero if it has named no limit.
+	coldRate  float64
+	coldUntil time.Time
 }
 
 // pool holds the limited endpoints of one service.
@@ -232,7 +241,7 @@
 // Limited reports whether requests to an endpoint need a permit.
 func (l *Limiter) Limited(endpoint waxwingwall.Endpoint) bool {
 	r := l.rows[endpoint]
-	return r != nil && !r.notice.Ended
+	return r != nil && r.limited()
 }
 
 // Seq returns the number of the newest notice of an endpoint, for Observation.
@@ -248,7 +257,9 @@
 	var all []Notice
 	for _, p := range l.pools {
 		for _, r := range p.rows {
-			all = append(all, r.notice)
+			if r.noticed() {
+				all = append(all, r.notice)
+			}
 		}
 	}
 	return all
@@ -327,7 +338,7 @@
 		p.refill(now)
 	}
 	before := r.notice
-	if before.Born != n.Born || before.Ended {
+	if before.Born != n.Born || !r.limited() {
 		r.tokens = 0
 		r.refilledAt = now
 	}
@@ -378,15 +389,16 @@
 
 // add adds the row of an endpoint.
 func (p *pool) add(r *row, n Notice) {
-	i, _ := slices.BinarySearchFunc(p.rows, n.Endpoint, func(r *row, id waxwingwall.Endpoint) int { return cmp.Compare(r.notice.Endpoint, id) })
+	i, _ := slices.BinarySearchFunc(p.rows, n.Endpoint, compareRows)
 	r.notice.Endpoint = n.Endpoint
 	r.notice.Pool = n.Pool
+	r.notice.Born = n.Born
 	p.rows = slices.Insert(p.rows, i, r)
 }
 
 // limited reports whether any endpoint of the pool has a limit.
 func (p *pool) limited() bool {
-	return slices.ContainsFunc(p.rows, func(r *row) bool { return !r.notice.Ended })
+	return slices.ContainsFunc(p.rows, (*row).limited)
 }
 
 // Step processes an event and returns the pending actions.
@@ -426,6 +438,7 @@
 				l.Forget(r.notice.Endpoint)
 			}
 		}
+		l.warm(now, p)
 		l.lend(now, p)
 		l.updateHeld(now, p)
 		l.grantWaiting(now, p)
--- a/core/limit/permit.go
+++ b/core/limit/permit.go
@@ -281,7 +281,7 @@
 func (l *Limiter) freeRow(p *pool, e *entry) *row {
 	var best *row
 	for _, r := range p.rows {
-		if r.notice.Ended || r.tokens < 1 || !l.usable(r) || slices.Contains(e.ask.Exclude, r.notice.Endpoint) {
+		if !r.limited() || r.tokens < 1 || !l.usable(r) || slices.Contains(e.ask.Exclude, r.notice.Endpoint) {
 			continue
 		}
 		if r.notice.Endpoint == e.ask.Prefer {
--- a/core/limit/queue.go
+++ b/core/limit/queue.go
@@ -222,7 +222,7 @@
 	free := func(after time.Duration) int {
 		sum := -int(taken * after.Seconds())
 		for _, r := range p.rows {
-			if !r.notice.Ended && p.burst(r) >= 1 && usable(r) {
+			if r.limited() && p.burst(r) >= 1 && usable(r) {
 				sum += int(max(r.tokens, 0) + p.rate(r)*after.Seconds())
 			}
 		}
@@ -252,7 +252,7 @@
 func (p *pool) grantRate(usable func(*row) bool) float64 {
 	rate := 0.0
 	for _, r := range p.rows {
-		if !r.notice.Ended && p.burst(r) >= 1 && usable(r) {
+		if r.limited() && p.burst(r) >= 1 && usable(r) {
 			rate += p.rate(r)
 		}
 	}
--- a/core/limit/rights.go
+++ b/core/limit/rights.go
@@ -107,11 +107,14 @@
 
 // rate returns the permits a second that this router may grant for an endpoint.
 func (p *pool) rate(r *row) float64 {
-	return p.held * max(r.notice.Rate, minRate)
+	return p.held * r.rate()
 }
 
 // burst returns the largest number of tokens that this router may have for an endpoint.
 func (p *pool) burst(r *row) float64 {
-	rate := max(r.notice.Rate, minRate)
+	rate := r.rate()
+	if r.coldRate > 0 {
+		return p.held * (coldBurst - 1 + min(rate, 1))
+	}
 	return p.held * (2 + min(rate, 1) + burstSeconds*rate)
 }
--- a/core/limit/world_test.go
+++ b/core/limit/world_test.go
@@ -49,6 +49,11 @@
 	cut   func(a, b int) bool
 	delay func(from int) time.Duration
 
+	// lose reports whether a single message is lost, connect is the time until a request with
+	// a permit is sent; nil means never and none.
+	lose    func() bool
+	connect func() time.Duration
+
 	// messages counts the messages between routers.
 	messages int
 
@@ -302,7 +307,7 @@
 	if _, err := fmt.Sscanf(string(a.To.VM), "vm-%d", &to); err != nil {
 		w.t.Fatal(err)
 	}
-	if w.cut != nil && w.cut(from, to) {
+	if w.cut != nil && w.cut(from, to) || w.lose != nil && w.lose() {
 		return
 	}
 	self := w.incarnation(from)
@@ -324,7 +329,11 @@
 	r := w.routers[i]
 	life := r.life
 	seq := r.limiter.Seq(e.id)
-	w.after(sendDelay, func() {
+	delay := sendDelay
+	if w.connect != nil {
+		delay += w.connect()
+	}
+	w.after(delay, func() {
 		e.arrivals = append(e.arrivals, arrival{at: w.now, from: [2]int{i, life}})
 		w.after(headDelay, func() {
 			l := e.limitAt(w.now)
