platform: read how long endpoints are cold and what they take meanwhile

A service's cold rate and cold time, and the time left in the header of an answer, were not read. Tests of ./platform and of the root package pass.

--- a/proxy.go
+++ b/proxy.go
@@ -159,6 +159,13 @@
 	// EventTokens is the maximum number of tokens in one event of a stream; at
 	// least 1 for an engine.
 	EventTokens Tokens
+
+	// ColdRate is the number of requests a second that a cold endpoint takes from all
+	// routers together, finite and not negative; zero if it has no limit.
+	ColdRate float64
+
+	// ColdTime is how long an endpoint is cold after its start, zero if unspecified.
+	ColdTime time.Duration
 }
 
 // ClientAccount is a client account with its keys and its prepaid tokens.
@@ -227,7 +234,8 @@
 	// Leaving is set once it must not receive new requests.
 	Leaving bool
 
-	// Cold is the remaining warm-up time after its start.
+	// Cold is how much longer it was cold when the entry was written; in the news of a
+	// router, how much longer it was when they were sent.
 	Cold time.Duration
 
 	// Born distinguishes successive instances with the same name; zero if
@@ -286,6 +294,11 @@
 	// read, empty otherwise.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string
+
+	// Cold is how much longer the endpoint is cold, zero if it doesn't say; InvalidCold is
+	// the text if it can't be read, empty otherwise.
+	Cold        time.Duration
+	InvalidCold string
 }
 
 // RateLimit is the number of requests that an endpoint takes in a second from all
@@ -359,6 +372,22 @@
 	return time.Duration(min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second)), true
 }
 
+// MaxColdTime limits how long an endpoint can say that it is cold.
+const MaxColdTime = 24 * time.Hour
+
+// ParseColdTime parses a decimal number of milliseconds. It reports false for any other text,
+// and for a time above MaxColdTime.
+func ParseColdTime(text string) (time.Duration, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms > float64(MaxColdTime.Milliseconds()) {
+		return 0, false
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
+}
+
 // HeaderCodec converts between the headers of callers and endpoints and the
 // types of this package.
 type HeaderCodec interface {
