core/edge, relay: cold endpoints get their permitted rate only

A router sent to a cold endpoint what it sent to any other. A request with a warm endpoint does not wait; without one it waits as long as its objective allows and is refused at once otherwise. Entries passed to peers hold what is left then.

--- a/core/edge/behind.go
+++ b/core/edge/behind.go
@@ -150,7 +150,7 @@
 		n.Revision = e.endpoints.revision
 		for _, rows := range e.endpoints.byService {
 			for _, row := range rows {
-				n.Replicas = append(n.Replicas, row.replica)
+				n.Replicas = append(n.Replicas, e.agedReplica(row))
 			}
 		}
 	}
--- a/core/edge/brittle.go
+++ b/core/edge/brittle.go
@@ -134,7 +134,7 @@
 		wait = remaining / 2
 	}
 	if r.permit.ID != 0 {
-		wait = min(wait, permitSendBy)
+		wait = min(wait, e.permitUntil(r).Sub(e.now))
 	}
 	return min(max(wait, 0), remaining)
 }
@@ -156,6 +156,12 @@
 		return
 	}
 	r.slot.denied = 0
+	if r.permit.ID == 0 && e.limits.Limited(g.Endpoint) {
+		// It got a limit while the request waited for the slot.
+		e.endSlot(r, false)
+		e.dispatch(r)
+		return
+	}
 	c := e.cost(r, row, false)
 	c.candidates = 1
 	e.startAttempt(r, c)
--- a/core/edge/config.go
+++ b/core/edge/config.go
@@ -89,12 +89,16 @@
 // applyConfiguration activates a configuration if it is newer than the active
 // one.
 func (e *Edge) applyConfiguration(c waxwingwall.Configuration, from string) {
+	if c.Version == e.config.version && from == "store" {
+		e.adoptCold(c)
+	}
 	if c.Version <= e.config.version {
 		return
 	}
 	before := e.config.version
 	e.config = newConfigIndex(c)
 	e.fundBudgets()
+	e.reviewCold(coldByConfiguration)
 	e.log("configuration_in_force", "",
 		field("version", c.Version),
 		field("before", before),
--- a/core/edge/departure.go
+++ b/core/edge/departure.go
@@ -41,6 +41,10 @@
 
 	// unsent are departures not yet sent to any peer.
 	unsent []Departure
+
+	// cold are the endpoints that said in an answer that they are cold, and of which no peer
+	// was told yet.
+	cold []*endpoint
 }
 
 type departure struct {
--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -40,6 +40,9 @@
 	// Paused is the remaining time for which the endpoint asked to be sent nothing.
 	Paused time.Duration `json:"paused"`
 
+	// Cold is the remaining time for which the endpoint has the limit of a cold one.
+	Cold time.Duration `json:"cold"`
+
 	// Missing is set while the endpoint's entry is missing after an outage of the
 	// store and may still reappear.
 	Missing bool `json:"returns"`
@@ -131,6 +134,7 @@
 				Tunneled:     row.tunneled,
 				Announced:    row.announced,
 				Paused:       e.pauses.left(now, row.replica),
+				Cold:         max(row.cold.until.Sub(now), 0),
 				Missing:      !row.missingSince.IsZero(),
 			})
 		}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -154,6 +154,9 @@
 	// limits keeps the limits that endpoints name.
 	limits *limit.Limiter
 
+	// coldEndpoints counts the endpoints with the limit of cold ones.
+	coldEndpoints int
+
 	// permits are the requests that wait for a permit, by the ID of their ask.
 	permits map[uint64]*request
 
@@ -330,6 +333,7 @@
 	e.notices.Expire(e.now)
 	e.expireMarks()
 	e.expireNotices()
+	e.reviewCold(coldByTime)
 	e.removeMissing()
 	e.expireWaits()
 	e.logOverdue()
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -112,6 +112,9 @@
 
 	// parts are the recently read parts with the time of their last use.
 	parts map[uint64]time.Time
+
+	// cold is what is known of the time in which the endpoint is cold.
+	cold coldness
 }
 
 // load is the load of routers at an endpoint.
@@ -257,6 +260,7 @@
 		e.applyNotices(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.endpointListed(r.Endpoint, r.Service, 0, buildOf(r))
+		e.listCold(row, true, from)
 		e.log("endpoint_listed", "",
 			field("endpoint", r.Endpoint), field("service", r.Service), field("software", r.Version), field("leaving", r.Leaving),
 			field("revision", t.revision), field("from", from))
@@ -278,6 +282,7 @@
 		old.failures = 0
 		old.backoffUntil = time.Time{}
 		old.announced = false
+		e.forgetCold(old)
 		e.limits.Forget(r.Endpoint)
 	}
 	moved := old.replica.Service != r.Service
@@ -286,7 +291,7 @@
 		old.tunneled = e.isCut(r.Service)
 		e.limits.Forget(r.Endpoint)
 	}
-	before := old.build
+	before, changed := old.build, old.replica != r
 	old.replica = r
 	t.paths = nil
 	old.build = buildOf(r)
@@ -295,6 +300,7 @@
 	if moved {
 		t.add(old)
 	}
+	e.listCold(old, changed, from)
 }
 
 // handleRemoved handles a missing entry. After an outage of the store, entries
@@ -321,6 +327,7 @@
 func (e *Edge) removeEndpoint(row *endpoint, from string) {
 	e.endpoints.remove(row)
 	e.endpointRemoved(row)
+	e.forgetCold(row)
 	e.limits.Forget(row.replica.Endpoint)
 	e.forgetNotices(row.replica)
 	delete(e.endpoints.rows, row.replica.Endpoint)
--- a/core/edge/event.go
+++ b/core/edge/event.go
@@ -125,6 +125,9 @@
 	// RetryAfter is the time for which the endpoint, which declined the request, asks
 	// this router to send it nothing; zero if it doesn't.
 	RetryAfter time.Duration
+
+	// Cold is how much longer the endpoint says that it is cold; zero if it doesn't.
+	Cold time.Duration
 }
 
 // Confirmation is what confirmed that the end of a connection is that of an answer, as the log
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -166,6 +166,9 @@
 type Departures struct {
 	// Departures are those newly reported by the store.
 	Departures []Departure
+
+	// Cold are the endpoints that newly said in an answer that they are cold.
+	Cold []ColdEndpoint
 }
 
 // Crashes reports requests that crashed endpoints, and what is known of the parts of
@@ -244,9 +247,10 @@
 			e.send(to, r)
 		}
 	}
-	if len(e.departures.unsent) > 0 {
+	if len(e.departures.unsent) > 0 || len(e.departures.cold) > 0 {
 		e.broadcast(Departures{
 			Departures: e.departures.unsent,
+			Cold:       e.coldNews(),
 		}, departureFanout)
 		e.departures.unsent = nil
 	}
@@ -417,6 +421,7 @@
 		e.askNews()
 	case Departures:
 		e.handleDepartures(m.Departures)
+		e.mergeCold(ev.From, m.Cold)
 	case AskNews:
 		e.answerAskNews(ev.From, m)
 	case News:
--- a/core/edge/leaving.go
+++ b/core/edge/leaving.go
@@ -61,6 +61,9 @@
 	if ev.RetryAfter > 0 {
 		e.handlePause(ev.Endpoint, ev.Born, ev.RetryAfter)
 	}
+	if ev.Cold > 0 {
+		e.handleCold(ev)
+	}
 }
 
 // handleAnnouncement records an instance that said that it leaves, and notifies the
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -127,6 +127,7 @@
 		ask.Wait = max(due.Sub(e.now), 0)
 	}
 	r.ask = ask.ID
+	e.noteColdAsk(r, ask.Prefer, ask.Wait)
 	e.permits[ask.ID] = r
 	e.limits.Ask(e.now, ask)
 	e.takeLimits()
@@ -148,6 +149,7 @@
 		return
 	}
 	r.permit = g
+	e.noteColdAnswer(r, g.Endpoint, 0)
 	c := e.cost(r, row, false)
 	c.candidates = 1
 	e.startWithSlot(r, c)
@@ -164,6 +166,7 @@
 	if d.Silent {
 		e.log("permit_silent", r.call.ID, field("service", r.service), field("after", e.now.Sub(r.arrived)))
 	}
+	e.noteColdAnswer(r, "", d.RetryAfter)
 	e.dispatchDenied(r, d.RetryAfter)
 }
 
@@ -217,7 +220,7 @@
 	if r.permit.ID == 0 {
 		return by
 	}
-	if limited := e.now.Add(permitSendBy); limited.Before(by) {
+	if limited := e.permitUntil(r); limited.Before(by) {
 		return limited
 	}
 	return by
--- a/core/edge/news.go
+++ b/core/edge/news.go
@@ -15,6 +15,9 @@
 	maxDuration = 7 * 24 * time.Hour
 	maxTokens   = 1 << 50
 	maxCount    = 1_000_000
+
+	// maxColdRate is in requests per second.
+	maxColdRate = 1e6
 )
 
 // isCount reports whether n is neither negative nor above a limit.
@@ -37,7 +40,7 @@
 		}
 	}
 	for _, s := range c.Services {
-		if s.Name == "" || !isCount(s.Slots, maxCount) || !isCount(s.Connections, maxCount) || !isCount(s.Memory, maxTokens) || !isCount(s.EventTokens, maxTokens) {
+		if s.Name == "" || !isCount(s.Slots, maxCount) || !isCount(s.Connections, maxCount) || !isCount(s.Memory, maxTokens) || !isCount(s.EventTokens, maxTokens) || !(s.ColdRate >= 0 && s.ColdRate <= maxColdRate) || !isCount(s.ColdTime, waxwingwall.MaxColdTime) {
 			return fmt.Errorf("invalid service %q", s.Name)
 		}
 	}
@@ -68,7 +71,7 @@
 func validReplicas(all []waxwingwall.Replica) []waxwingwall.Replica {
 	var valid []waxwingwall.Replica
 	for _, r := range all {
-		if r.Endpoint != "" && r.Service != "" && reachable(r.Address) && isCount(r.Slots, maxCount) {
+		if r.Endpoint != "" && r.Service != "" && reachable(r.Address) && isCount(r.Slots, maxCount) && isCount(r.Cold, waxwingwall.MaxColdTime) {
 			valid = append(valid, r)
 		}
 	}
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -115,6 +115,9 @@
 	permit   limit.Granted
 	limitSeq uint64
 
+	// cold is the last ask for a permit, if it was for one of a cold endpoint.
+	cold coldAsk
+
 	// slot is the slot of a brittle endpoint that the request waits for or has.
 	slot slot
 
@@ -159,7 +162,10 @@
 	unlimited, ofVersion := e.limitFilter(r), e.versionFilter(r)
 	answering := e.slotFilter(r)
 	mayUse := func(row *endpoint) bool { return unlimited(row) && ofVersion(row) && answering(row) }
-	c, ok := e.choose(r, func(row *endpoint) bool { return row.listed() && mayUse(row) })
+	c, ok := e.chooseWarmUp(r, e.evacuating(), func(row *endpoint) bool { return row.listed() && mayUse(row) })
+	if !ok {
+		c, ok = e.choose(r, func(row *endpoint) bool { return row.listed() && mayUse(row) })
+	}
 	if !ok && len(r.tried) > 0 && !r.mayHaveRun() {
 		clear(r.tried)
 		c, ok = e.choose(r, func(row *endpoint) bool { return row.listed() && mayUse(row) })
--- a/relay/instance.go
+++ b/relay/instance.go
@@ -39,7 +39,8 @@
 	})
 }
 
-// readInstance returns the start time in an endpoint's report.
+// readInstance returns the start time in an endpoint's report, and posts how much longer the
+// endpoint says that it is cold.
 func (r *Relay) readInstance(a edge.AskInstance) (int64, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, a.Timeout)
 	defer cancel()
@@ -50,6 +51,13 @@
 	if answer.status != http.StatusOK {
 		return 0, trace.BadParameter("status %d", answer.status)
 	}
+	if answer.cold > 0 && answer.unreadable == nil {
+		r.postEvent(edge.NoticeReceived{
+			Endpoint: a.Endpoint,
+			Born:     answer.born,
+			Cold:     answer.cold,
+		})
+	}
 	return answer.born, answer.unreadable
 }
 
@@ -60,6 +68,9 @@
 	// born is the start time that it names; unreadable is why there is none.
 	born       int64
 	unreadable error
+
+	// cold is how much longer the endpoint says that it is cold.
+	cold time.Duration
 }
 
 // readReport asks an endpoint for its report. The error means that there is no answer. The
@@ -88,6 +99,7 @@
 	defer answer.Close()
 	out := report{
 		status: answer.Status,
+		cold:   r.codec.ParseReply(answer.Status, answer.Header).Cold,
 	}
 	out.born, out.unreadable = parseReport(answer, body)
 	return out, nil
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,6 +23,7 @@
 type metrics struct {
 	handler http.Handler
 	close   func()
+	meter   metric.Meter
 
 	requests       metric.Int64Counter
 	attempts       metric.Int64Counter
@@ -32,6 +33,7 @@
 	closedTokens   metric.Int64Counter
 	retriesRefused metric.Int64Counter
 	oldList        metric.Int64Counter
+	coldPermits    metric.Int64Counter
 	omittedLines   metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
@@ -58,6 +60,7 @@
 		handler:   handler,
 		close:     stop,
 		endpoints: map[waxwingwall.Endpoint]bool{},
+		meter:     meter,
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
 		o.Observe(int64(queueLength()))
@@ -73,6 +76,9 @@
 	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_age", metric.WithUnit("s"), metric.WithFloat64Callback(observeAge), metric.WithDescription("Time since the router last had all changes of the endpoints.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.coldPermits, err = meter.Int64Counter("waxwingwall.edge.cold_permits", metric.WithDescription("Asks for permits of cold endpoints, by result.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err = observeLinks(meter, links); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -128,6 +134,16 @@
 	return m, nil
 }
 
+// observeCold adds the instrument of the cold endpoints.
+func (m *metrics) observeCold(count func() int) error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(int64(count()))
+		return nil
+	}
+	_, err := m.meter.Int64ObservableGauge("waxwingwall.edge.cold_endpoints", metric.WithInt64Callback(observe), metric.WithDescription("Endpoints with the limit of cold ones."))
+	return err
+}
+
 // observeLinks adds the instruments of the links to peers.
 func observeLinks(meter metric.Meter, links func() peer.LinksStats) error {
 	connections, err := meter.Int64ObservableGauge("waxwingwall.edge.peer_connections", metric.WithDescription("Open connections to peers."))
@@ -181,6 +197,8 @@
 		m.shareTokens.Add(ctx, entry.Number("tokens"), metric.WithAttributes(attribute.String("trade", entry.Text("trade"))))
 	case "share_closed":
 		m.addClosedTokens(entry.Number)
+	case "permit_cold":
+		m.coldPermits.Add(ctx, 1, metric.WithAttributes(attribute.String("result", entry.Text("result"))))
 	case "retry_budget_spent":
 		m.retriesRefused.Add(ctx, 1)
 	case "refused":
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -158,6 +158,9 @@
 	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
 	endpointsAge time.Duration
 
+	// coldEndpoints is edge.Edge.ColdEndpoints.
+	coldEndpoints int
+
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
 
@@ -248,6 +251,9 @@
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
+	if err = r.metrics.observeCold(func() int { return r.sharedState.Load().coldEndpoints }); err != nil {
+		return trace.Wrap(err)
+	}
 	var cleanup func()
 	r.store, cleanup = platform.New(
 		r.settings.Store,
--- a/relay/request.go
+++ b/relay/request.go
@@ -473,7 +473,10 @@
 	if reply.InvalidRetryAfter != "" {
 		log.WithField("retry_after", waxwingwall.Excerpt(reply.InvalidRetryAfter)).Warning("retry_after_unreadable")
 	}
-	if !reply.Leaving && reply.RetryAfter == 0 && !reply.Brittle.Named {
+	if reply.InvalidCold != "" {
+		log.WithField("cold", waxwingwall.Excerpt(reply.InvalidCold)).Warning("cold_unreadable")
+	}
+	if !reply.Leaving && reply.RetryAfter == 0 && !reply.Brittle.Named && reply.Cold == 0 {
 		return
 	}
 	p.relay.postEvent(edge.NoticeReceived{
@@ -482,6 +485,7 @@
 		Leaving:    reply.Leaving,
 		Brittle:    reply.Brittle,
 		RetryAfter: reply.RetryAfter,
+		Cold:       reply.Cold,
 	})
 }
 
