--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -129,6 +129,9 @@
 	}
 	m.retriesRefused.Add(context.Background(), 0)
 	m.oldList.Add(context.Background(), 0)
+	for _, result := range []string{"granted", "denied"} {
+		m.coldPermits.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result)))
+	}
 	m.omittedLines.Add(context.Background(), 0)
 	m.addClosedTokens(func(string) int64 { return 0 })
 	return m, nil
