core/edge: requests that wait for a permit go on once an endpoint is warm

They waited on for permits of the other cold endpoints, up to their objective, though one could be used at once. Now a tick sends them to it; a test drives it (TestWarmEndsWait), and the test of all endpoints cold uses requests that have time to wait.

--- a/core/edge/cold.go
+++ b/core/edge/cold.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -149,6 +150,7 @@
 	switch {
 	case until.IsZero():
 		e.coldEndpoints--
+		e.warmed = append(e.warmed, row.replica.Service)
 		e.log("endpoint_warm", "",
 			field("endpoint", row.replica.Endpoint), field("left", max(before.Sub(e.now), 0)), field("from", from))
 	case before.IsZero() || until.Sub(before).Abs() >= coldStep:
@@ -180,6 +182,29 @@
 	}
 }
 
+// releaseWaiting dispatches the requests anew that wait for a permit of a service of which an
+// endpoint is warm now.
+func (e *Edge) releaseWaiting() {
+	services := e.warmed
+	e.warmed = nil
+	if len(services) == 0 {
+		return
+	}
+	var waiting []*request
+	for _, r := range e.permits {
+		if slices.Contains(services, r.service) && e.hasUnlimited(r) {
+			waiting = append(waiting, r)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *request) int { return cmp.Compare(a.id, b.id) })
+	for _, r := range waiting {
+		if r.ask != 0 {
+			e.cancelAsk(r)
+			e.dispatch(r)
+		}
+	}
+}
+
 // The causes of changes that are no messages, for the log.
 const (
 	coldByTime          = "time"
--- a/core/edge/cold_test.go
+++ b/core/edge/cold_test.go
@@ -182,6 +182,14 @@
 	}
 }
 
+// short returns a request with a short prompt, which leaves time to wait.
+func short() waxwingwall.Call {
+	c := call("advice")
+	c.Prompt = 100
+	c.Parts = nil
+	return c
+}
+
 // TestAllCold: where all endpoints of a service are cold, requests wait as long as their
 // objective allows and the others are refused at once, with the time at which a permit is free.
 func TestAllCold(t *testing.T) {
@@ -207,12 +215,13 @@
 			}
 		}
 	}
-	for i := range uint64(100) {
-		_, out := h.arrive(prompt(100+i, 1000+i))
+	for range 100 {
+		_, out := h.arrive(short())
 		count(out)
 	}
-	if sent == 0 || refused < 50 {
-		t.Errorf("at once, %d are sent and %d refused", sent, refused)
+	waiting := len(h.edge.permits)
+	if sent == 0 || waiting == 0 || refused < 50 {
+		t.Errorf("at once, %d are sent and %d refused, %d wait", sent, refused, waiting)
 	}
 	count(h.advance(300 * time.Millisecond))
 	if sent+refused != 100 || len(h.edge.permits) != 0 {
@@ -220,6 +229,32 @@
 	}
 }
 
+// TestWarmEndsWait: requests that wait for a permit go to an endpoint that has become warm.
+func TestWarmEndsWait(t *testing.T) {
+	h := newColdHarness(t)
+	for n := range 4 {
+		h.list(n, 3*time.Second, 0)
+	}
+	h.advance(500 * time.Millisecond)
+	for range 16 {
+		h.arrive(short())
+	}
+	waiting := len(h.edge.permits)
+	if waiting == 0 {
+		t.Fatal("no request waits")
+	}
+	h.list(2, 0, 0)
+	sent := 0
+	for _, a := range h.advance(50 * time.Millisecond) {
+		if _, ok := a.(Dispatch); ok {
+			sent++
+		}
+	}
+	if sent != waiting || len(h.edge.permits) != 0 {
+		t.Errorf("%d of %d are sent, %d wait", sent, waiting, len(h.edge.permits))
+	}
+}
+
 // The bound of a cold endpoint: coldFactorOfTest times its rate and coldSlackOfTest requests in
 // a second.
 const (
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -157,6 +157,9 @@
 	// coldEndpoints counts the endpoints with the limit of cold ones.
 	coldEndpoints int
 
+	// warmed are the services of endpoints that have become warm since the last tick.
+	warmed []waxwingwall.Model
+
 	// permits are the requests that wait for a permit, by the ID of their ask.
 	permits map[uint64]*request
 
@@ -334,6 +337,7 @@
 	e.expireMarks()
 	e.expireNotices()
 	e.reviewCold(coldByTime)
+	e.releaseWaiting()
 	e.removeMissing()
 	e.expireWaits()
 	e.logOverdue()
