core/edge: the log tells whether a request that asked had a warm endpoint

has_warm of permit_cold was taken from the wait, which is zero as well for a request that has no time left.

--- a/core/edge/cold.go
+++ b/core/edge/cold.go
@@ -56,11 +56,11 @@
 
 // coldAsk is the ask of a request for the permit of a cold endpoint.
 type coldAsk struct {
-	// endpoint is empty if the last ask was for another one; at is when it was made, warming
+	// endpoint is empty if the last ask was for another one; at is when it was made, hasWarm
 	// is set if a warm endpoint could have been used as well.
 	endpoint waxwingwall.Endpoint
 	at       time.Time
-	warming  bool
+	hasWarm  bool
 
 	// sendBy is when the permit ends; zero if the endpoint isn't cold.
 	sendBy time.Time
@@ -292,13 +292,13 @@
 }
 
 // noteColdAsk notes that a request asks for a permit, preferably that of an endpoint.
-func (e *Edge) noteColdAsk(r *request, preferred waxwingwall.Endpoint, wait time.Duration) {
+func (e *Edge) noteColdAsk(r *request, preferred waxwingwall.Endpoint, hasWarm bool) {
 	r.cold = coldAsk{}
 	if e.limits.Cold(preferred) {
 		r.cold = coldAsk{
 			endpoint: preferred,
 			at:       e.now,
-			warming:  wait == 0,
+			hasWarm:  hasWarm,
 		}
 	}
 }
@@ -319,7 +319,7 @@
 	}
 	e.log("permit_cold", r.call.ID,
 		field("result", result), field("asked", r.cold.endpoint), field("endpoint", endpoint), field("service", r.service),
-		field("waited", since(r.cold.at, e.now)), field("has_warm", r.cold.warming), field("retry_after", retryAfter))
+		field("waited", since(r.cold.at, e.now)), field("has_warm", r.cold.hasWarm), field("retry_after", retryAfter))
 }
 
 // permitUntil returns when a request with a permit must have been sent.
--- a/core/edge/limit.go
+++ b/core/edge/limit.go
@@ -119,7 +119,8 @@
 			ask.Exclude = append(ask.Exclude, id)
 		}
 	}
-	if !e.hasUnlimited(r) {
+	hasWarm := e.hasUnlimited(r)
+	if !hasWarm {
 		due := r.arrived.Add(r.route.Objective - time.Duration(c.cost)*time.Millisecond)
 		if due.After(r.deadline) {
 			due = r.deadline
@@ -127,7 +128,7 @@
 		ask.Wait = max(due.Sub(e.now), 0)
 	}
 	r.ask = ask.ID
-	e.noteColdAsk(r, ask.Prefer, ask.Wait)
+	e.noteColdAsk(r, ask.Prefer, hasWarm)
 	e.permits[ask.ID] = r
 	e.limits.Ask(e.now, ask)
 	e.takeLimits()
