relay, core/limit: nothing without a permit to an endpoint that has become cold

A request that waited for its connection was sent when its endpoint had become cold meanwhile; it is withheld now like one to a paused endpoint, and goes on elsewhere. A peer's notice that names another service ended the limit of a cold endpoint; it is kept. Tests of ./core/limit and those of cold endpoints in ./core/edge pass.

--- a/core/edge/cold.go
+++ b/core/edge/cold.go
@@ -232,9 +232,19 @@
 	}
 }
 
-// ColdEndpoints returns the number of endpoints with the limit of cold ones.
-func (e *Edge) ColdEndpoints() int {
-	return e.coldEndpoints
+// ColdInstances returns the cold instances, each with the end of that: a request without a
+// permit may still wait for its connection when its endpoint becomes cold.
+func (e *Edge) ColdInstances() map[Instance]time.Time {
+	if e.coldEndpoints == 0 {
+		return nil
+	}
+	all := make(map[Instance]time.Time, e.coldEndpoints)
+	for id, row := range e.endpoints.rows {
+		if !row.cold.until.IsZero() {
+			all[Instance{Endpoint: id, Born: row.replica.Born}] = row.cold.until
+		}
+	}
+	return all
 }
 
 // agedReplica returns the entry of an endpoint as it is passed to a peer now.
--- a/core/edge/cold_test.go
+++ b/core/edge/cold_test.go
@@ -85,7 +85,10 @@
 	h.list(0, 0, 6)
 	h.wantCold("another instance", 0, 0)
 	h.list(0, time.Second, 6)
-	if n := h.edge.ColdEndpoints(); n != 1 {
+	if until, ok := h.edge.ColdInstances()[Instance{Endpoint: "engine-0", Born: 6}]; !ok || until.Sub(h.now) != time.Second {
+		t.Errorf("the instance is cold until %v", until)
+	}
+	if n := len(h.edge.ColdInstances()); n != 1 {
 		t.Errorf("%d cold endpoints, want 1", n)
 	}
 	h.advance(time.Second)
@@ -95,7 +98,7 @@
 	h.list(0, 900*time.Millisecond, 6)
 	h.wantCold("cold again", 0, 900*time.Millisecond)
 	h.step(Replicas{Removed: []waxwingwall.Endpoint{"engine-0"}, Revision: h.edge.endpoints.revision + 1})
-	if n := h.edge.ColdEndpoints(); n != 0 || h.edge.limits.Limited("engine-0") {
+	if n := len(h.edge.ColdInstances()); n != 0 || h.edge.limits.Limited("engine-0") {
 		t.Errorf("%d cold endpoints after the removal", n)
 	}
 }
--- a/core/limit/cold_test.go
+++ b/core/limit/cold_test.go
@@ -201,6 +201,9 @@
 	if n := l.Notices(); len(n) != 1 || !n[0].Ended {
 		t.Errorf("notices %v", n)
 	}
+	other := Notice{Endpoint: "e", Pool: "n", Born: 7, Seq: 99, Rate: 50, Named: 50, Ended: true}
+	l.Step(now, effect.Received{From: waxwingwall.Incarnation{VM: "vm-2", Boot: 1}, Message: Notices{Notices: []Notice{other}}})
+	want("a peer's notice for another service", 8, true, 99)
 	l.SetCold(now, Cold{Endpoint: "e", Pool: "m", Born: 8, Rate: 5, Until: now.Add(time.Second)})
 	want("another instance", 5, true, 0)
 }
--- a/core/limit/limit.go
+++ b/core/limit/limit.go
@@ -324,13 +324,17 @@
 // apply puts a notice in force.
 func (l *Limiter) apply(now time.Time, n Notice, from waxwingwall.Incarnation) {
 	r := l.rows[n.Endpoint]
+	var moved row
 	if r != nil && r.notice.Pool != n.Pool {
+		moved = *r
 		l.Forget(n.Endpoint)
 		r = nil
 	}
 	if r == nil {
 		r = &row{
 			refilledAt: now,
+			coldRate:   moved.coldRate,
+			coldUntil:  moved.coldUntil,
 		}
 		l.rows[n.Endpoint] = r
 		l.ensurePool(n.Pool).add(r, n)
--- a/relay/control.go
+++ b/relay/control.go
@@ -121,10 +121,10 @@
 		addresses:  addresses,
 		addressTTL: addressTTL,
 
-		endpointsAge:  r.edge.EndpointsAge(now),
-		coldEndpoints: r.edge.ColdEndpoints(),
-		paths:         r.edge.Paths(),
-		withheld:      r.edge.Withheld(now),
+		endpointsAge: r.edge.EndpointsAge(now),
+		cold:         r.edge.ColdInstances(),
+		paths:        r.edge.Paths(),
+		withheld:     r.edge.Withheld(now),
 	})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -158,8 +158,9 @@
 	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
 	endpointsAge time.Duration
 
-	// coldEndpoints is edge.Edge.ColdEndpoints.
-	coldEndpoints int
+	// cold are the instances to which nothing may be sent without a permit, see
+	// edge.Edge.ColdInstances.
+	cold map[edge.Instance]time.Time
 
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
@@ -251,7 +252,7 @@
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
-	if err = r.metrics.observeCold(func() int { return r.sharedState.Load().coldEndpoints }); err != nil {
+	if err = r.metrics.observeCold(func() int { return len(r.sharedState.Load().cold) }); err != nil {
 		return trace.Wrap(err)
 	}
 	var cleanup func()
--- a/relay/request.go
+++ b/relay/request.go
@@ -491,11 +491,14 @@
 
 // withholds reports whether nothing may be sent to the endpoint of a dispatch any more.
 func (r *Relay) withholds(d edge.Dispatch) bool {
-	until, ok := r.sharedState.Load().withheld[edge.Instance{
+	s := r.sharedState.Load()
+	to := edge.Instance{
 		Endpoint: d.Params.Endpoint,
 		Born:     d.Born,
-	}]
-	return ok && time.Now().Before(until)
+	}
+	now := time.Now()
+	// A dispatch to an endpoint with a limit has a permit.
+	return now.Before(s.withheld[to]) || !d.Limited && now.Before(s.cold[to])
 }
 
 // failedAttempt returns the result of an attempt that failed with err.
