--- a/core/limit/cold_test.go
+++ b/core/limit/cold_test.go
@@ -155,7 +155,7 @@
 func TestColdBesideNamed(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
 	l := New(waxwingwall.Incarnation{VM: "vm-1", Boot: 1}, func(waxwingwall.Endpoint) (int64, bool, bool) { return 7, true, true })
-	l.SetPeers(nil, 1, true, false)
+	l.SetPeers([]waxwingwall.Incarnation{{VM: "vm-2", Boot: 1}}, 2, true, false)
 	cool := func(rate float64, d time.Duration) {
 		l.SetCold(now, Cold{Endpoint: "e", Pool: "m", Born: 7, Rate: rate, Until: now.Add(d)})
 	}
@@ -175,7 +175,13 @@
 	cool(8, time.Second)
 	want("cold", 8, true, 0)
 	now = now.Add(999 * time.Millisecond)
-	l.Step(now, effect.Tick{})
+	for _, a := range l.Step(now, effect.Tick{}) {
+		if m, ok := a.(effect.Send); ok {
+			if _, ok := m.Message.(Notices); ok {
+				t.Error("a notice is passed on")
+			}
+		}
+	}
 	want("at the end", 8, true, 0)
 	now = now.Add(time.Millisecond)
 	l.Step(now, effect.Tick{})
