--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -160,6 +160,12 @@
 	// limits keeps the limits that endpoints name.
 	limits *limit.Limiter
 
+	// coldEndpoints counts the endpoints with the limit of cold ones.
+	coldEndpoints int
+
+	// warmed are the services of endpoints that have become warm since the last tick.
+	warmed []waxwingwall.Model
+
 	// permits are the requests that wait for a permit, by the ID of their ask.
 	permits map[uint64]*request
 
@@ -339,6 +345,8 @@
 	e.expireMarks()
 	e.expireNotices()
 	e.evacuationStep()
+	e.reviewCold(coldByTime)
+	e.releaseWaiting()
 	e.removeMissing()
 	e.expireWaits()
 	e.logOverdue()
--- a/relay/control.go
+++ b/relay/control.go
@@ -127,6 +127,7 @@
 
 		endpointsAge: r.edge.EndpointsAge(now),
 		readPause:    r.edge.ReadPause(now),
+		cold:         r.edge.ColdInstances(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
 		evacuated:    evacuated,
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,6 +23,7 @@
 type metrics struct {
 	handler http.Handler
 	close   func()
+	meter   metric.Meter
 
 	requests       metric.Int64Counter
 	attempts       metric.Int64Counter
@@ -33,6 +34,7 @@
 	retriesRefused metric.Int64Counter
 	oldList        metric.Int64Counter
 	evacuated      metric.Int64Gauge
+	coldPermits    metric.Int64Counter
 	omittedLines   metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
@@ -59,6 +61,7 @@
 		handler:   handler,
 		close:     stop,
 		endpoints: map[waxwingwall.Endpoint]bool{},
+		meter:     meter,
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
 		o.Observe(int64(queueLength()))
@@ -81,6 +84,9 @@
 	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_read_pause", metric.WithUnit("s"), metric.WithFloat64Callback(observePause), metric.WithDescription("Time between two reads of the endpoints' changes; zero while the router has requests.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.coldPermits, err = meter.Int64Counter("waxwingwall.edge.cold_permits", metric.WithDescription("Asks for permits of cold endpoints, by result.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err = observeLinks(meter, links); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -135,11 +141,24 @@
 	m.retriesRefused.Add(context.Background(), 0)
 	m.oldList.Add(context.Background(), 0)
 	m.evacuated.Record(context.Background(), 0)
+	for _, result := range []string{"granted", "denied"} {
+		m.coldPermits.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result)))
+	}
 	m.omittedLines.Add(context.Background(), 0)
 	m.addClosedTokens(func(string) int64 { return 0 })
 	return m, nil
 }
 
+// observeCold adds the instrument of the cold endpoints.
+func (m *metrics) observeCold(count func() int) error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(int64(count()))
+		return nil
+	}
+	_, err := m.meter.Int64ObservableGauge("waxwingwall.edge.cold_endpoints", metric.WithInt64Callback(observe), metric.WithDescription("Endpoints with the limit of cold ones."))
+	return err
+}
+
 // observeLinks adds the instruments of the links to peers.
 func observeLinks(meter metric.Meter, links func() peer.LinksStats) error {
 	connections, err := meter.Int64ObservableGauge("waxwingwall.edge.peer_connections", metric.WithDescription("Open connections to peers."))
@@ -193,6 +212,8 @@
 		m.shareTokens.Add(ctx, entry.Number("tokens"), metric.WithAttributes(attribute.String("trade", entry.Text("trade"))))
 	case "share_closed":
 		m.addClosedTokens(entry.Number)
+	case "permit_cold":
+		m.coldPermits.Add(ctx, 1, metric.WithAttributes(attribute.String("result", entry.Text("result"))))
 	case "retry_budget_spent":
 		m.retriesRefused.Add(ctx, 1)
 	case "refused":
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -159,6 +159,10 @@
 	// edge.Edge.ReadPause.
 	endpointsAge, readPause time.Duration
 
+	// cold are the instances to which nothing may be sent without a permit, see
+	// edge.Edge.ColdInstances.
+	cold map[edge.Instance]time.Time
+
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
 
@@ -253,6 +257,9 @@
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
+	if err = r.metrics.observeCold(func() int { return len(r.sharedState.Load().cold) }); err != nil {
+		return trace.Wrap(err)
+	}
 	var cleanup func()
 	r.store, cleanup = platform.New(
 		r.settings.Store,
