--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -66,6 +66,11 @@
 	// paused is set while this instance has asked this router for a pause.
 	paused bool
 
+	// evacuated is set while the failure domain is to be empty; returnsAt is when its load
+	// began to return after that, zero if it has.
+	evacuated bool
+	returnsAt time.Time
+
 	// failures counts consecutive failures of connections; until backoffUntil, the
 	// endpoint is avoided while others are available.
 	failures     int
@@ -112,6 +117,9 @@
 
 	// parts are the recently read parts with the time of their last use.
 	parts map[uint64]time.Time
+
+	// cold is what is known of the time in which the endpoint is cold.
+	cold coldness
 }
 
 // load is the load of routers at an endpoint.
@@ -129,6 +137,10 @@
 	// paths is the result of Paths; nil if it is out of date.
 	paths map[netip.AddrPort]bool
 
+	// evacuated are the instances in failure domains that are to be empty, as of paths, with the
+	// time until which nothing is sent to them; nil if there are none.
+	evacuated map[Instance]time.Time
+
 	// revision is the store's revision of rows; complete is set once rows have
 	// been replaced by a full snapshot.
 	revision int64
@@ -258,8 +270,10 @@
 		t.add(row)
 		row.tunneled = e.isCut(r.Service)
 		e.applyNotices(row)
+		e.applyEvacuations(row)
 		e.crashes.addressChanged(e.now, r.Address)
 		e.endpointListed(r.Endpoint, r.Service, 0, buildOf(r))
+		e.listCold(row, true, from)
 		e.log("endpoint_listed", "",
 			field("endpoint", r.Endpoint), field("service", r.Service), field("software", r.Version), field("leaving", r.Leaving),
 			field("revision", t.revision), field("from", from))
@@ -281,6 +295,7 @@
 		old.failures = 0
 		old.backoffUntil = time.Time{}
 		old.announced = false
+		e.forgetCold(old)
 		e.limits.Forget(r.Endpoint)
 	}
 	moved := old.replica.Service != r.Service
@@ -289,15 +304,17 @@
 		old.tunneled = e.isCut(r.Service)
 		e.limits.Forget(r.Endpoint)
 	}
-	before := old.build
+	before, changed := old.build, old.replica != r
 	old.replica = r
 	t.paths = nil
 	old.build = buildOf(r)
 	e.applyNotices(old)
+	e.applyEvacuations(old)
 	e.endpointListed(r.Endpoint, r.Service, before, old.build)
 	if moved {
 		t.add(old)
 	}
+	e.listCold(old, changed, from)
 }
 
 // handleRemoved handles a missing entry. After an outage of the store, entries
@@ -324,6 +341,7 @@
 func (e *Edge) removeEndpoint(row *endpoint, from string) {
 	e.endpoints.remove(row)
 	e.endpointRemoved(row)
+	e.forgetCold(row)
 	e.limits.Forget(row.replica.Endpoint)
 	e.forgetNotices(row.replica)
 	delete(e.endpoints.rows, row.replica.Endpoint)
@@ -396,7 +414,7 @@
 
 // usable reports whether an endpoint may receive new requests.
 func (r *endpoint) usable() bool {
-	return !r.departing() && !r.paused
+	return !r.departing() && !r.paused && !r.evacuated
 }
 
 // listed reports whether a usable endpoint has an entry in the store. A missing
--- a/relay/control.go
+++ b/relay/control.go
@@ -103,7 +103,11 @@
 // publish updates the state that is shared with other goroutines.
 func (r *Relay) publish(now time.Time) {
 	addresses, addressTTL := r.edge.RecentAddresses(now)
-	if previous := r.sharedState.Load(); previous == nil || !slices.Equal(previous.addresses, addresses) {
+	previous, evacuated := r.sharedState.Load(), r.edge.Evacuating()
+	if previous != nil && previous.evacuated != evacuated {
+		r.metrics.evacuated.Record(r.ctx, int64(evacuated))
+	}
+	if previous == nil || !slices.Equal(previous.addresses, addresses) {
 		r.logEntry(now, edge.LogEntry{
 			Event: "addresses_changed",
 			Fields: []edge.Field{
@@ -123,8 +127,10 @@
 
 		endpointsAge: r.edge.EndpointsAge(now),
 		readPause:    r.edge.ReadPause(now),
+		cold:         r.edge.ColdInstances(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
+		evacuated:    evacuated,
 	})
 }
 
@@ -295,6 +301,18 @@
 			lastUnreadable = c.Version
 			r.log.WithError(err).WithField("version", c.Version).Error("configuration_unreadable")
 		}
+	}, r.postEvacuations)
+}
+
+// postEvacuations posts the failure domains that are to be empty.
+func (r *Relay) postEvacuations(u platform.Evacuations) {
+	for _, err := range u.Unreadable {
+		r.log.WithError(err).WithField("revision", u.Revision).Warning("evacuation_unreadable")
+	}
+	r.postUpdate(edge.Evacuated{
+		Domains:  u.Domains,
+		Revision: u.Revision,
+		AsOf:     u.AsOf,
 	})
 }
 
--- a/relay/request.go
+++ b/relay/request.go
@@ -473,7 +473,10 @@
 	if reply.InvalidRetryAfter != "" {
 		log.WithField("retry_after", waxwingwall.Excerpt(reply.InvalidRetryAfter)).Warning("retry_after_unreadable")
 	}
-	if !reply.Leaving && reply.RetryAfter == 0 && !reply.Brittle.Named {
+	if reply.InvalidCold != "" {
+		log.WithField("cold", waxwingwall.Excerpt(reply.InvalidCold)).Warning("cold_unreadable")
+	}
+	if !reply.Leaving && reply.RetryAfter == 0 && !reply.Brittle.Named && reply.Cold == 0 {
 		return
 	}
 	p.relay.postEvent(edge.NoticeReceived{
@@ -482,16 +485,20 @@
 		Leaving:    reply.Leaving,
 		Brittle:    reply.Brittle,
 		RetryAfter: reply.RetryAfter,
+		Cold:       reply.Cold,
 	})
 }
 
 // withholds reports whether nothing may be sent to the endpoint of a dispatch any more.
 func (r *Relay) withholds(d edge.Dispatch) bool {
-	until, ok := r.sharedState.Load().withheld[edge.Instance{
+	s := r.sharedState.Load()
+	to := edge.Instance{
 		Endpoint: d.Params.Endpoint,
 		Born:     d.Born,
-	}]
-	return ok && time.Now().Before(until)
+	}
+	now := time.Now()
+	// A dispatch to an endpoint with a limit has a permit.
+	return now.Before(s.withheld[to]) || !d.Limited && now.Before(s.cold[to])
 }
 
 // failedAttempt returns the result of an attempt that failed with err.
