--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -131,11 +131,11 @@
 	view    *member.View
 	closers []*closeTask
 
-	// The tables.
+	// The tables. lastArrival is when the last request came.
 	config       configIndex
 	endpoints    endpoints
 	requests     map[uint64]*request
-	arrivalRate  arrivalRate
+	lastArrival  time.Time
 	retryBudgets map[waxwingwall.Model]*retryBudget
 	crashes      crashTracker
 	nodes        nodes
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -166,8 +166,8 @@
 	// partsExpiredAt is when expireParts last forgot old parts.
 	partsExpiredAt time.Time
 
-	// readsSeldom is set while ReadPause is at its longest, as logged.
-	readsSeldom bool
+	// loggedPause is the last ReadPause in the log.
+	loggedPause time.Duration
 }
 
 func (t *endpoints) init() {
