platform, core/edge: take the longer pauses between reads of the endpoints back

Cause: the change rested on the guess that most calls to the store are reads of the endpoints' changes. Counted by kind on a scratch copy they are an eighth (docs/design/store-calls.md).

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -23,7 +23,6 @@
 		r.arrived = ev.At
 	}
 	e.requests[r.id] = r
-	e.lastArrival = e.now
 	if p := e.admit(r); p != nil {
 		e.refuse(r, p)
 		return
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -131,11 +131,10 @@
 	view    *member.View
 	closers []*closeTask
 
-	// The tables. lastArrival is when the last request came.
+	// The tables.
 	config       configIndex
 	endpoints    endpoints
 	requests     map[uint64]*request
-	lastArrival  time.Time
 	retryBudgets map[waxwingwall.Model]*retryBudget
 	crashes      crashTracker
 	nodes        nodes
@@ -350,7 +349,6 @@
 	e.removeMissing()
 	e.expireWaits()
 	e.logOverdue()
-	e.logReadPause()
 	e.versionStep()
 	e.drainStep()
 }
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -165,9 +165,6 @@
 
 	// partsExpiredAt is when expireParts last forgot old parts.
 	partsExpiredAt time.Time
-
-	// loggedPause is the last ReadPause in the log.
-	loggedPause time.Duration
 }
 
 func (t *endpoints) init() {
--- a/relay/control.go
+++ b/relay/control.go
@@ -126,7 +126,6 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
-		readPause:    r.edge.ReadPause(now),
 		cold:         r.edge.ColdInstances(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -52,7 +52,7 @@
 const maxEndpoints = 1000
 
 // newMetrics creates the instruments in a separate registry.
-func newMetrics(queueLength func() int, endpointsAge, readPause func() time.Duration, links func() peer.LinksStats, waiting func() quota.Stats) (*metrics, error) {
+func newMetrics(queueLength func() int, endpointsAge func() time.Duration, links func() peer.LinksStats, waiting func() quota.Stats) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
 	if err != nil {
 		return nil, err
@@ -77,13 +77,6 @@
 	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_age", metric.WithUnit("s"), metric.WithFloat64Callback(observeAge), metric.WithDescription("Time since the router last had all changes of the endpoints.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	observePause := func(_ context.Context, o metric.Float64Observer) error {
-		o.Observe(readPause().Seconds())
-		return nil
-	}
-	if _, err = meter.Float64ObservableGauge("waxwingwall.edge.endpoints_read_pause", metric.WithUnit("s"), metric.WithFloat64Callback(observePause), metric.WithDescription("Time between two reads of the endpoints' changes; zero while the router has requests.")); err != nil {
-		return nil, trace.Wrap(err)
-	}
 	if m.coldPermits, err = meter.Int64Counter("waxwingwall.edge.cold_permits", metric.WithDescription("Asks for permits of cold endpoints, by result.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/relay/oldlist_test.go
+++ b/relay/oldlist_test.go
@@ -17,7 +17,6 @@
 	m, err := newMetrics(
 		func() int { return 0 },
 		func() time.Duration { return 0 },
-		func() time.Duration { return 0 },
 		func() peer.LinksStats { return peer.LinksStats{} },
 		func() quota.Stats { return quota.Stats{} },
 	)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -155,9 +155,8 @@
 	addresses  []netip.AddrPort
 	addressTTL time.Duration
 
-	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot, readPause
-	// edge.Edge.ReadPause.
-	endpointsAge, readPause time.Duration
+	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
+	endpointsAge time.Duration
 
 	// cold are the instances to which nothing may be sent without a permit, see
 	// edge.Edge.ColdInstances.
@@ -250,7 +249,6 @@
 	if r.metrics, err = newMetrics(
 		func() int { return len(r.inbox) },
 		func() time.Duration { return r.sharedState.Load().endpointsAge },
-		func() time.Duration { return r.sharedState.Load().readPause },
 		func() peer.LinksStats { return r.links.Stats() },
 		r.waitingStats,
 	); err != nil {
@@ -266,7 +264,6 @@
 		platform.WithPartitions(edge.Partition, edge.Partitions()),
 		platform.WithEraObserver(r.reportEra),
 		platform.WithMemory(r.settings.MemoryBytes),
-		platform.WithReplicaPause(func() time.Duration { return r.sharedState.Load().readPause }),
 	)
 	r.closers = append(r.closers, cleanup)
 	r.origins, cleanup = origin.New(origin.WithDialObserver(r.reportDial), origin.WithDial(r.dial))
