io/origin: an answer whose status is none of HTTP is a failure

net/http takes "000" or "+20" as a status, and any below 200 as that of an interim answer; the pool read on, so that the body of such an answer was the next one. Heads are now checked before net/http reads them (io/http1): three digits, 200 to 599, or 100, 102 and 103 without a body. An upgrade that nobody asked for, other interim statuses and those above 599 are none; at most 8 interim answers come before a final one, with 64 KiB for all heads together. The connection is closed and the request may have run.

--- a/io/origin/origin.go
+++ b/io/origin/origin.go
@@ -16,7 +16,8 @@
 // An answer that names no request is accepted only as the first one on its
 // connection, which is then not reused. A request that failed on a connection is not
 // sent again there, since a repetition of that failure would name it as well. The
-// connection of a rejected answer is not reused at all.
+// connection of a rejected answer is not reused at all. A head with a status that is none of HTTP is no
+// answer, and nothing after it is read.
 package origin
 
 import (
@@ -41,6 +42,7 @@
 
 	"github.com/gravitational/trace"
 
+	"waxwingwall/io/http1"
 	"waxwingwall/io/quota"
 	"waxwingwall/io/tcp"
 	"waxwingwall/io/tunnel"
@@ -774,17 +776,10 @@
 		return trace.Wrap(err)
 	}
 	for range maxSkippedAnswers {
-		a.conn.source.limited = true
-		a.conn.source.remaining = maxHeadBytes
-		a.conn.source.head = r.Head
-		resp, err := http.ReadResponse(a.conn.reader, req)
-		a.conn.source.limited = false
+		resp, err := a.readFinalHeader(req, r)
 		if err != nil {
 			return classifyError(err)
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		unnamed := r.Unnamed != nil && r.Unnamed(resp.Header)
 		if unnamed && a.conn.answered {
 			return trace.Errorf("answer that names no request on a reused connection")
@@ -815,6 +810,27 @@
 	return trace.Errorf("too many answers to other requests")
 }
 
+// readFinalHeader reads the header of the next final answer and those of the interim ones before it,
+// which have maxHeadBytes together.
+func (a *Answer) readFinalHeader(req *http.Request, r Request) (*http.Response, error) {
+	a.conn.source.limited = true
+	a.conn.source.remaining = maxHeadBytes
+	a.conn.source.head = r.Head
+	defer func() { a.conn.source.limited = false }()
+	for interim := 1; ; interim++ {
+		if err := http1.CheckStatus(a.conn.reader); err != nil {
+			return nil, err
+		}
+		resp, err := http.ReadResponse(a.conn.reader, req)
+		if err != nil || http1.IsFinal(resp.StatusCode) {
+			return resp, err
+		}
+		if err := http1.CheckInterim(resp, interim); err != nil {
+			return nil, err
+		}
+	}
+}
+
 // classifyError returns ErrIdleTimeout for a timeout, and other errors
 // unchanged.
 func classifyError(err error) error {
