io/endpoint: a status that is none of HTTP is a failure on the other path

net/http's transport took such answers as final (000, 001, 099, +20, two spaces, 101, 600 to 999), and read on after 199. Calls of services passed them on as answers, streams as the engine's status. Connections now refuse such heads and the answer is no answer: the call may have run.

--- a/io/endpoint/endpoint.go
+++ b/io/endpoint/endpoint.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/io/http1"
 	"waxwingwall/io/origin"
 	"waxwingwall/io/tcp"
 )
@@ -271,7 +272,7 @@
 
 // conn is a connection of a Pool.
 type conn struct {
-	net.Conn
+	*http1.Conn
 
 	// pending is set from the start of an exchange until its answer was accepted.
 	pending atomic.Bool
@@ -302,7 +303,7 @@
 				return nil, err
 			}
 			return &conn{
-				Conn: tcp.NewConn(c),
+				Conn: http1.NewConn(tcp.NewConn(c)),
 			}, nil
 		},
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -314,12 +315,15 @@
 }
 
 // Transport returns the transport for a call to address. With unshared the
-// call uses a connection of its own.
+// call uses a connection of its own. A head that is none of an answer is a failure of the call.
 func (p *Pool) Transport(address netip.AddrPort, unshared bool) http.RoundTripper {
+	transport := p.reused
 	if unshared || p.isSuspect(address) {
-		return p.unshared
+		transport = p.unshared
+	}
+	return &http1.Transport{
+		RoundTripper: transport,
 	}
-	return p.reused
 }
 
 func (p *Pool) isSuspect(address netip.AddrPort) bool {
