platform, io/tunnel: a status that is none of HTTP is no answer of the store or a peer

The store's client took rows, commits and conflicts from the body of an answer with status 199 or from two spaces before a status, and the store's era from a head with status 000; a router's tunnel was open, or its endpoint out of reach, by a status after two spaces.

--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -21,6 +21,7 @@
 
 	"waxwingwall"
 	"waxwingwall/api/platformapi"
+	"waxwingwall/io/http1"
 	"waxwingwall/io/quota"
 )
 
@@ -71,7 +72,7 @@
 		Timeout: dialTimeout,
 	}
 	c.transport = &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         http1.Dial(dialer.DialContext).Checked(),
 		MaxConnsPerHost:     c.connections,
 		MaxIdleConnsPerHost: c.connections,
 		IdleConnTimeout:     idleTimeout,
@@ -80,8 +81,10 @@
 	}
 	api, err := platformapi.NewClient(baseURL, platformapi.WithClient(&http.Client{
 		Transport: &boundedTransport{
-			RoundTripper: c.transport,
-			reading:      quota.New(maxReadBytes),
+			RoundTripper: &http1.Transport{
+				RoundTripper: c.transport,
+			},
+			reading: quota.New(maxReadBytes),
 		},
 	}))
 	if err != nil {
--- a/io/tunnel/dial.go
+++ b/io/tunnel/dial.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 
+	"waxwingwall/io/http1"
 	"waxwingwall/io/tcp"
 )
 
@@ -107,6 +108,9 @@
 	head := bufio.NewReader(&byteReader{
 		from: io.LimitReader(conn, maxHeadBytes),
 	})
+	if err := http1.CheckStatus(head); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(head, &http.Request{
 		Method: http.MethodConnect,
 	})
