relay, io/service: tests that a status which is none of HTTP confirms no end

Before, a companion or report answered with 600, 999 or with two spaces before the status confirmed a cut answer as whole, on both paths (3 of 8 each); below 200 it confirmed none.

--- a/io/service/status_test.go
+++ b/io/service/status_test.go
@@ -90,3 +90,46 @@
 		}()
 	}
 }
+
+// TestNoStatusConfirmsNothing guards against a cut answer that counts as whole because its service
+// answers the question whether it lives with a status that is none of HTTP.
+func TestNoStatusConfirmsNothing(t *testing.T) {
+	for _, status := range []string{"404", "000", "001", "+20", " 200", "101", "199", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						req, err := http.ReadRequest(bufio.NewReader(c))
+						if err != nil {
+							return
+						}
+						text := "HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n"
+						if req.Method == http.MethodPost {
+							text = "HTTP/1.1 201 Created\r\n\r\npla"
+						}
+						_, _ = io.WriteString(c, text)
+					}()
+				}
+			}()
+			c, stop := service.New()
+			defer stop()
+			a, err := c.Do(context.Background(), service.Call{
+				Address: netip.MustParseAddrPort(l.Addr().String()),
+				Attempt: "1",
+			})
+			if sound := status == "404"; sound != (err == nil) {
+				t.Errorf("%+v, %v", a, err)
+			}
+		})
+	}
+}
--- a/relay/status_test.go
+++ b/relay/status_test.go
@@ -141,3 +141,28 @@
 		})
 	}
 }
+
+// TestNoStatusConfirmsNothing guards against a cut answer that looks whole because its endpoint's
+// companion or report is answered with a status that is none of HTTP.
+func TestNoStatusConfirmsNothing(t *testing.T) {
+	f := newFleet(t, 1, testAccount)
+	var status atomic.Value
+	var asked atomic.Int32
+	f.serveConns("order", func(_ net.Listener, c *net.TCPConn, next func() *http.Request) {
+		switch req := next(); {
+		case strings.HasSuffix(req.RequestURI, "cut"):
+			write(c, standin.SealedHead("200 OK")+"\r\npla")
+		case req.RequestURI != "":
+			asked.Add(1)
+			write(c, "HTTP/1.1 "+status.Load().(string)+" Odd\r\nContent-Length: 10\r\n\r\n{\"born\":1}")
+		}
+	})
+	for i, text := range []string{"000", "001", "+20", " 200", "101", "199", "600", "999"} {
+		status.Store(text)
+		asked.Store(0)
+		a := f.callAs(f.relays[0], fmt.Sprint("cut-", i), "key", "/order/cut", "", 0, 0)
+		if a.status == http.StatusOK && a.err == nil || asked.Load() == 0 {
+			t.Errorf("%q: got %+v, asked %d times", text, a, asked.Load())
+		}
+	}
+}
