io/http1: idle connections are closed on request

Cause: the Transport hid CloseIdleConnections of the transport below it, so that the watch of the store, which closes idle connections when an answer is late as they may be as dead as the one in use, closed none any more. Change: the Transport passes the call on.

--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -44,6 +44,13 @@
 	return res, nil
 }
 
+// CloseIdleConnections closes the idle connections, as http.Client.CloseIdleConnections asks for.
+func (t *Transport) CloseIdleConnections() {
+	if idle, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		idle.CloseIdleConnections()
+	}
+}
+
 // begin begins a request at its connection.
 func begin(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(interface{ Begin() }); ok {
