core/intake, relay: choose what a slow link carries, and leave the bodies of refused requests

Two routers with 10 Mbit/s refused most of what came to them by arrival alone, and their lists of endpoints grew old behind bytes of requests that were refused. net/http reads up to 256 KB of a body that the handler has not read, with Connection: close as well, so refused bodies passed the link whole.

The connection of a refused caller is closed after the answer, without the rest of its body; until its request is accepted a caller may send 2 KB before it is read. While the modelled queue is between 50 and 150 ms, the link is divided by rank, with floors, and among accounts by max-min fairness. What can't end in its time is refused at once. Return times go by rank and account.

The calls in the tests of core/intake take the new arguments; their bounds are as before.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -129,6 +129,7 @@
 
 	// The tables.
 	config       configIndex
+	routing      *Routing
 	endpoints    endpoints
 	requests     map[uint64]*request
 	retryBudgets map[waxwingwall.Model]*retryBudget
--- a/relay/control.go
+++ b/relay/control.go
@@ -122,6 +122,7 @@
 		addressTTL: addressTTL,
 
 		endpointsAge: r.edge.EndpointsAge(now),
+		routing:      r.edge.Routing(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
 	})
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -23,6 +23,7 @@
 type metrics struct {
 	handler http.Handler
 	close   func()
+	meter   metric.Meter
 
 	requests       metric.Int64Counter
 	attempts       metric.Int64Counter
@@ -33,6 +34,7 @@
 	retriesRefused metric.Int64Counter
 	oldList        metric.Int64Counter
 	omittedLines   metric.Int64Counter
+	intakeRefused  metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
@@ -57,6 +59,7 @@
 	m := &metrics{
 		handler:   handler,
 		close:     stop,
+		meter:     meter,
 		endpoints: map[waxwingwall.Endpoint]bool{},
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,7 +30,6 @@
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
-	"waxwingwall/core/intake"
 	"waxwingwall/core/limit"
 	"waxwingwall/core/member"
 	"waxwingwall/io/heads"
@@ -158,6 +157,9 @@
 	// endpointsAge is edge.Edge.EndpointsAge at the time of the snapshot.
 	endpointsAge time.Duration
 
+	// routing tells the terms of requests, see edge.Edge.Routing.
+	routing *edge.Routing
+
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
 
@@ -215,9 +217,7 @@
 		callerConns: callerConns{
 			states: map[net.Conn]http.ConnState{},
 		},
-		link: link{
-			limiter: intake.New(s.LinkMbps),
-		},
+		link:    newLink(s.LinkMbps),
 		waiting: quota.New(max(s.MemoryBytes/waitingDivisor, minWaitingBytes)),
 		heads:   heads.NewQuota(max(s.MemoryBytes/headsDivisor, minHeadsBytes)),
 		inbox:   make(chan job, inboxSize),
@@ -248,6 +248,9 @@
 		return trace.Wrap(err)
 	}
 	r.closers = append(r.closers, r.metrics.close)
+	if err = r.metrics.observeIntake(&r.link); err != nil {
+		return trace.Wrap(err)
+	}
 	var cleanup func()
 	r.store, cleanup = platform.New(
 		r.settings.Store,
