core/edge, relay: a started router lists nobody until it knows the others; one with a full link isn't listed

Callers stay with the router that they are told of first, and a router listed whom it had heard of 100 ms after its start, itself among them. It lists nobody now until it has the table of routers and hears half of their VMs, or for 2 s; the directory answers without addresses then and callers ask the next router. A router whose callers ask for more than its link carries says so in its reports and is left out while enough others remain. Equal machines with room are listed as before. The choice weighted by capacity is not built (docs/design/directory.md).

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -137,6 +137,8 @@
 	nodes        nodes
 	gossip       gossipState
 	listed       listing
+	listHold     time.Duration
+	linkFull     bool
 	link         link
 	reach        reach
 	departures   departures
--- a/relay/control.go
+++ b/relay/control.go
@@ -104,6 +104,8 @@
 func (r *Relay) publish(now time.Time) {
 	delay, measuredAt := r.edge.LinkDelay(now)
 	r.link.observe(now, delay, measuredAt)
+	asked, _, _ := r.link.load()
+	r.edge.SetLinkAsked(asked)
 	addresses, addressTTL := r.edge.RecentAddresses(now)
 	if previous := r.sharedState.Load(); previous == nil || !slices.Equal(previous.addresses, addresses) {
 		r.logEntry(now, edge.LogEntry{
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,6 +58,10 @@
 	// watch.
 	updatesSize = 16
 
+	// listHold is how long callers are told of no router after the start, unless the others are
+	// known before.
+	listHold = 2 * time.Second
+
 	// sweepInterval is the time between two sweeps for idle connections.
 	sweepInterval = time.Second
 
@@ -284,6 +288,7 @@
 		},
 		edge.WithSeed(uint64(now.UnixNano())),
 		edge.WithBounds(bounds(r.settings)),
+		edge.WithListHold(listHold),
 	)
 	r.publish(now)
 	if err := r.serve(); err != nil {
