--- a/core/edge/routing.go
+++ b/core/edge/routing.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// outputDivisor divides the largest number of output tokens to what an answer has as a rule.
+	outputDivisor = 3
+
 	// plainAnswerBytes is the expected length of an answer that is no stream, and eventBytes
 	// that of an event of a stream with what it takes on the link beside its text.
 	plainAnswerBytes = 1 << 10
@@ -30,7 +33,7 @@
 	// Timeout is how long the request may take; zero without a route.
 	Timeout time.Duration
 
-	// Answer is the expected length of the answer in bytes, at its most.
+	// Answer is the expected length of the answer in bytes.
 	Answer int64
 }
 
@@ -60,7 +63,7 @@
 		t.Account = account.Name
 	}
 	if s := r.config.services[route.Services[0].Service]; s != nil && route.Kind == waxwingwall.Streaming {
-		t.Answer += eventBytes * int64(c.MaxOutput/max(s.EventTokens, 1))
+		t.Answer += eventBytes * int64(c.MaxOutput/max(s.EventTokens, 1)) / outputDivisor
 	}
 	return t
 }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -38,9 +38,9 @@
 
 	// Each measured delay that is too long withholds withheldStep of the link from requests, up to
 	// maxWithheld, which they get back with withheldBack per second.
-	withheldStep = 0.05
-	maxWithheld  = 0.4
-	withheldBack = 0.04
+	withheldStep = 0.02
+	maxWithheld  = 0.25
+	withheldBack = 0.05
 
 	// usablePart is the part of the link's speed for requests and answers; the rest
 	// is for the store, peers and probes.
--- a/relay/intake.go
+++ b/relay/intake.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,35 +13,32 @@
 
 	"waxwingwall"
 	"waxwingwall/core/intake"
+	"waxwingwall/io/tcp"
 )
 
 const (
-	// windowTime is the time for which one caller may fill the VM's link with what the router
-	// has not asked for; bytes of the store and the peers queue behind it. A caller at a
-	// distance of 50 ms gets a fifth of the link at most.
-	windowTime = 10 * time.Millisecond
+	// On links of up to maxWindowMbps a caller may send no more than headWindowBytes before it
+	// is read, until its request is accepted: the bytes of the store and the peers queue behind
+	// it. The window has room for a head. What fits in with it passes the link even if the
+	// request is refused, and as much again once the head is read.
+	headWindowBytes = 2 << 10
+	maxWindowMbps   = 50
 
-	// minWindowBytes is the smallest window of a caller. On links on which it would be
-	// maxWindowBytes or more, the kernel chooses. A smaller one costs a round trip for each part
-	// of a body, and on a busy link these are long.
-	minWindowBytes = 4 << 10
-	maxWindowBytes = 64 << 10
-
-	// headReadBytes is how much of a request the server reads with its head.
-	headReadBytes = 4 << 10
+	// bodyWindowBytes is the window of accepted callers. Their bytes are limited together, and a
+	// body that takes a round trip for each part of it is late on a busy link.
+	bodyWindowBytes = 64 << 10
 
 	// codeLinkFull is the code of the answer to a request that the link has no room for.
 	codeLinkFull = "link_full"
 )
 
-// callerWindow returns how many bytes a caller may send before they are read; 0 if the kernel
-// chooses.
+// callerWindow returns how many bytes a caller may send before they are read, until its request
+// is accepted; 0 if the kernel chooses.
 func callerWindow(mbps int) int {
-	window := max(int(windowTime.Seconds()*float64(mbps)*1e6/8), minWindowBytes)
-	if mbps <= 0 || window >= maxWindowBytes {
+	if mbps <= 0 || mbps > maxWindowMbps {
 		return 0
 	}
-	return window
+	return headWindowBytes
 }
 
 // link is the Limiter of the VM's link. It is safe for concurrent use.
@@ -48,7 +46,7 @@
 	mu      sync.Mutex
 	limiter *intake.Limiter
 
-	// window is the window of callers; 0 if the kernel chooses.
+	// window is the window of callers that are not accepted; 0 if the kernel chooses.
 	window int
 
 	// observedAt is the time of the newest measurement that the Limiter knows.
@@ -59,7 +57,7 @@
 func newLink(mbps int) link {
 	window := callerWindow(mbps)
 	return link{
-		limiter: intake.New(mbps, int64(cmp.Or(window, maxWindowBytes)+headReadBytes)),
+		limiter: intake.New(mbps, 2*int64(cmp.Or(window, bodyWindowBytes))),
 		window:  window,
 	}
 }
@@ -110,6 +108,7 @@
 		TimeLeft: terms.Timeout,
 	})
 	if v.Accepted() {
+		r.widen(p, body)
 		return nil
 	}
 	if body > r.link.limiter.RefusedBytes {
@@ -141,6 +140,18 @@
 	}
 }
 
+// widen gives the connection of an accepted request the window for its body.
+func (r *Relay) widen(p *proxyRequest, body int64) {
+	conn, ok := p.r.Context().Value(connKey{}).(net.Conn)
+	if !ok || r.link.window == 0 || body <= int64(r.link.window) && p.r.ContentLength >= 0 {
+		return
+	}
+	if err := tcp.SetWindow(conn, bodyWindowBytes); err != nil {
+		// The body arrives slowly.
+		r.log.WithError(err).Debug("window_not_set")
+	}
+}
+
 // observeIntake adds the instruments of the decisions on bodies.
 func (m *metrics) observeIntake(l *link) error {
 	var err error
