--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -36,6 +36,7 @@
 	evacuated      metric.Int64Gauge
 	coldPermits    metric.Int64Counter
 	omittedLines   metric.Int64Counter
+	intakeRefused  metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
@@ -60,8 +61,8 @@
 	m := &metrics{
 		handler:   handler,
 		close:     stop,
-		endpoints: map[waxwingwall.Endpoint]bool{},
 		meter:     meter,
+		endpoints: map[waxwingwall.Endpoint]bool{},
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
 		o.Observe(int64(queueLength()))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,7 +30,6 @@
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
-	"waxwingwall/core/intake"
 	"waxwingwall/core/limit"
 	"waxwingwall/core/member"
 	"waxwingwall/io/heads"
@@ -59,6 +58,10 @@
 	// watch.
 	updatesSize = 16
 
+	// listHold is how long callers are told of no router after the start, unless the others are
+	// known before.
+	listHold = 2 * time.Second
+
 	// sweepInterval is the time between two sweeps for idle connections.
 	sweepInterval = time.Second
 
@@ -162,6 +165,9 @@
 	// edge.Edge.ColdInstances.
 	cold map[edge.Instance]time.Time
 
+	// routing tells the terms of requests, see edge.Edge.Routing.
+	routing *edge.Routing
+
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
 
@@ -222,9 +228,7 @@
 		callerConns: callerConns{
 			states: map[net.Conn]http.ConnState{},
 		},
-		link: link{
-			limiter: intake.New(s.LinkMbps),
-		},
+		link:    newLink(s.LinkMbps),
 		waiting: quota.New(max(s.MemoryBytes/waitingDivisor, minWaitingBytes)),
 		heads:   heads.NewQuota(max(s.MemoryBytes/headsDivisor, minHeadsBytes)),
 		inbox:   make(chan job, inboxSize),
@@ -258,6 +262,9 @@
 	if err = r.metrics.observeCold(func() int { return len(r.sharedState.Load().cold) }); err != nil {
 		return trace.Wrap(err)
 	}
+	if err = r.metrics.observeIntake(&r.link); err != nil {
+		return trace.Wrap(err)
+	}
 	var cleanup func()
 	r.store, cleanup = platform.New(
 		r.settings.Store,
@@ -291,6 +298,7 @@
 		},
 		edge.WithSeed(uint64(now.UnixNano())),
 		edge.WithBounds(bounds(r.settings)),
+		edge.WithListHold(listHold),
 	)
 	r.publish(now)
 	if err := r.serve(); err != nil {
