core/edge: requests wait for a connection no longer than the set of evacuations allows

Cause: a set that was 4.25 to 4.5 s old at the dispatch did not limit the wait, so that a request could be sent when the set was 6.0 s old (TestSendByOldEvacuations before the change); the bound is 5 s.

Change: such a request is sent until the set is 4.75 s old, and decided anew after that. A set that is too old, at a router no peer of which has a younger one, allows 0.5 s, as a list of endpoints does while the store is away for all.

Result: TestSendByOldEvacuations passes.

--- a/core/edge/freshness.go
+++ b/core/edge/freshness.go
@@ -167,7 +167,15 @@
 		return e.now.Add(sendReserve)
 	}
 	by := e.endpoints.asOf.Add(e.bounds.EndpointDrain - arriveReserve)
-	if evacuated := e.evacuations.asOf.Add(e.bounds.Evacuate - arriveReserve); evacuated.After(e.now.Add(sendReserve)) && evacuated.Before(by) {
+	if e.evacuations.asOf.IsZero() {
+		return by
+	}
+	evacuated := e.evacuations.asOf.Add(e.bounds.Evacuate - arriveReserve)
+	if evacuated.Before(e.now.Add(arriveReserve)) {
+		// It is too old, or about to be, and no peer has a younger one.
+		evacuated = e.now.Add(sendReserve)
+	}
+	if evacuated.Before(by) {
 		return evacuated
 	}
 	return by
