core/edge: what the store says late still dates the evacuations

Cause: at a router with a slow link, reports of peers are not dated, and an update of the store that comes after a report of a later revision was dropped whole. So the set grew old although the store answered within a second, and the router refused all requests from 4.5 s on (evacuations_unknown), also where nobody ever evacuated anything.

Change: such an update dates the set, which holds all changes that the update does.

Result: TestSlowLinkEvacuations fails before (refused after 5 s) and passes now, 10 s long.

--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -149,8 +149,8 @@
 	return len(e.evacuations.since)
 }
 
-// handleEvacuated applies an update from the store. An update of an earlier revision than
-// that of a peer says nothing new.
+// handleEvacuated applies an update from the store. One of an earlier revision than that of a
+// peer says only as of when this router's set holds all changes: it holds those of the update.
 func (e *Edge) handleEvacuated(ev Evacuated) {
 	s := EvacuationState{
 		Domains:  ev.Domains,
@@ -164,6 +164,10 @@
 	if asOf.IsZero() {
 		asOf = e.now
 	}
+	if s.Revision < e.evacuations.revision {
+		e.dateEvacuations(asOf)
+		return
+	}
 	e.mergeEvacuations(s, asOf, "store")
 }
 
@@ -194,10 +198,7 @@
 	if s.Revision < t.revision {
 		return
 	}
-	if asOf.After(t.asOf) {
-		t.asOf = asOf
-		t.staleLogged = false
-	}
+	e.dateEvacuations(asOf)
 	if s.Revision == t.revision {
 		return
 	}
@@ -226,6 +227,14 @@
 	e.setEvacuations(next, from)
 }
 
+// dateEvacuations records that the set holds all changes before a time, which may be zero.
+func (e *Edge) dateEvacuations(asOf time.Time) {
+	if t := &e.evacuations; asOf.After(t.asOf) {
+		t.asOf = asOf
+		t.staleLogged = false
+	}
+}
+
 // setEvacuations puts the domains in force, and takes others back.
 func (e *Edge) setEvacuations(next map[waxwingwall.Domain]time.Time, from string) {
 	t := &e.evacuations
--- a/core/edge/evacuationage_test.go
+++ b/core/edge/evacuationage_test.go
@@ -25,3 +25,30 @@
 		}
 	}
 }
+
+// TestSlowLinkEvacuations: a router with a slow link, which nobody ever asked to empty a failure
+// domain. What it learns late is dated, so that requests go on as before.
+func TestSlowLinkEvacuations(t *testing.T) {
+	for name, learn := range map[string]func(h *harness, revision int64){
+		"the store answers later than peers report": func(h *harness, revision int64) {
+			h.step(Evacuated{Revision: revision, AsOf: h.now.Add(-time.Second)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newDomainHarness(t)
+			h.evacuate(10)
+			for i := range int64(20) {
+				h.advance(500 * time.Millisecond)
+				h.reportDials(200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond)
+				if h.edge.link.queueDelay(h.now) == 0 {
+					t.Fatal("the link is not slow")
+				}
+				h.fromPeer(Report{Evacuations: EvacuationState{Revision: 20 + i, Age: 100 * time.Millisecond}})
+				learn(h, 10+i)
+				if _, out := h.arrive(call("order")); !has[Dispatch](out) {
+					t.Fatalf("not sent after %d half seconds: %+v", i+1, out)
+				}
+			}
+		})
+	}
+}
