core/edge: evacuations in answers to a router's question are dated by that question

Cause: a router that the store turns away and whose link is slow has a current list of endpoints by its questions to peers, but dated the evacuations in the same answers not at all while its link was slow. From 4.5 s on it refused all requests, also where nobody ever evacuated anything.

Change: both are dated by the time of the question, and by it alone, however late the answer is.

--- a/core/edge/behind.go
+++ b/core/edge/behind.go
@@ -100,13 +100,13 @@
 	return e.now.Sub(g.clockStart)
 }
 
-// newsDate returns the time up to which the list of endpoints of a peer that sent news holds
-// all changes. It returns false if the peer does not tell.
-func (e *Edge) newsDate(m News) (time.Time, bool) {
+// newsDate returns the time up to which something of an age in the news of a peer holds all
+// changes. It returns false if the peer does not tell.
+func (e *Edge) newsDate(m News, age time.Duration) (time.Time, bool) {
 	if m.Asked <= 0 || m.Asked > e.newsClock() {
 		return time.Time{}, false
 	}
-	return e.gossip.clockStart.Add(m.Asked - m.Age), true
+	return e.gossip.clockStart.Add(m.Asked - age), true
 }
 
 // peersAhead returns the peers whose newest reports show newer state, in order, and begins or
@@ -169,7 +169,8 @@
 		e.log("message_rejected", "", field("peer", waxwingwall.Excerpt(from.String())), field("message", "news"), field("cause", waxwingwall.Excerpt(err.Error())))
 		return
 	}
-	e.learnEvacuations(from, m.Evacuations)
+	evacuated, _ := e.newsDate(m, m.Evacuations.Age)
+	e.learnEvacuations(from, m.Evacuations, evacuated)
 	e.applyConfiguration(m.Configuration, "peer")
 	t := &e.endpoints
 	m.Replicas = validReplicas(m.Replicas)
@@ -179,7 +180,7 @@
 	}
 	// What is not merged may be newer than this router's list, and then its date is not that
 	// of this list.
-	asOf, dated := e.newsDate(m)
+	asOf, dated := e.newsDate(m, m.Age)
 	if dated && asOf.After(t.asOf) && (newer || t.complete && m.Revision <= t.revision) {
 		t.asOf = asOf
 	}
--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -171,8 +171,9 @@
 	e.mergeEvacuations(s, asOf, "store")
 }
 
-// learnEvacuations applies what a peer knows.
-func (e *Edge) learnEvacuations(from waxwingwall.Incarnation, s EvacuationState) {
+// learnEvacuations applies what a peer knows. asOf is a time before which that holds all
+// changes; zero if nothing but the age tells.
+func (e *Edge) learnEvacuations(from waxwingwall.Incarnation, s EvacuationState, asOf time.Time) {
 	if !s.known() {
 		return
 	}
@@ -185,8 +186,9 @@
 		age:        s.Age,
 		receivedAt: e.now,
 	}
-	asOf := time.Time{}
-	if e.link.queueDelay(e.now) == 0 {
+	// The set has at least the changes of one of an earlier revision.
+	e.dateEvacuations(asOf)
+	if asOf.IsZero() && e.link.queueDelay(e.now) == 0 {
 		asOf = e.now.Add(-s.Age - reportTransit)
 	}
 	e.mergeEvacuations(s, asOf, from.String())
--- a/core/edge/evacuationage_test.go
+++ b/core/edge/evacuationage_test.go
@@ -33,6 +33,13 @@
 		"the store answers later than peers report": func(h *harness, revision int64) {
 			h.step(Evacuated{Revision: revision, AsOf: h.now.Add(-time.Second)})
 		},
+		"the store turns it away, peers answer": func(h *harness, _ int64) {
+			h.fromPeer(News{
+				Asked:       max(h.edge.newsClock()-time.Second, 1),
+				Age:         100 * time.Millisecond,
+				Evacuations: EvacuationState{Revision: 11, Age: 100 * time.Millisecond},
+			})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newDomainHarness(t)
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -419,7 +419,7 @@
 			return
 		}
 		e.recordReport(ev.From, m)
-		e.learnEvacuations(ev.From, m.Evacuations)
+		e.learnEvacuations(ev.From, m.Evacuations, time.Time{})
 		for _, read := range m.Reads {
 			if row := e.endpoints.rows[read.Endpoint]; row != nil {
 				row.parts[read.Part] = e.now
