relay, core/edge: endpoints of evacuated failure domains are asked nothing later than the bound

Cause: an answer that ends with its connection makes the router ask the endpoint for its report, on the companion or a new connection, however long ago its failure domain was to be empty. The same holds for a question about an instance that waits for its connection meanwhile.

Change: such a question is withheld from the time on at which a request may not arrive any more: evacuate less 0.5 s after the last set in which the domain was not. Until then it is asked, so that answers under way are delivered.

What is lost: unframed answers that end later.

--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -141,6 +141,9 @@
 	// time until which nothing is sent to them; nil if there are none.
 	evacuated map[Instance]time.Time
 
+	// silenced are their addresses, with the time from which they are asked nothing either.
+	silenced map[netip.AddrPort]time.Time
+
 	// revision is the store's revision of rows; complete is set once rows have
 	// been replaced by a full snapshot.
 	revision int64
--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -116,6 +116,10 @@
 	// since are the domains in force, with the time from which they are at this router.
 	since map[waxwingwall.Domain]time.Time
 
+	// silentFrom is the time from which endpoints of a domain in force aren't asked whether they run
+	// either: it was not to be empty as of the set before, and may be asked until the bound.
+	silentFrom map[waxwingwall.Domain]time.Time
+
 	// kept are those of since that are missing in the store since it came back from a copy,
 	// with the time until which they stay in force.
 	kept map[waxwingwall.Domain]time.Time
@@ -186,8 +190,11 @@
 		age:        s.Age,
 		receivedAt: e.now,
 	}
-	// The set has at least the changes of one of an earlier revision.
-	e.dateEvacuations(asOf)
+	if s.Revision < t.revision {
+		// This router's set holds the changes of the peer's.
+		e.dateEvacuations(asOf)
+		return
+	}
 	if asOf.IsZero() && e.link.queueDelay(e.now) == 0 {
 		asOf = e.now.Add(-s.Age - reportTransit)
 	}
@@ -200,6 +207,10 @@
 	if s.Revision < t.revision {
 		return
 	}
+	silentFrom := e.now
+	if !t.asOf.IsZero() {
+		silentFrom = t.asOf.Add(e.bounds.Evacuate - sendReserve)
+	}
 	e.dateEvacuations(asOf)
 	if s.Revision == t.revision {
 		return
@@ -226,6 +237,11 @@
 			next[d] = since
 		}
 	}
+	silent := make(map[waxwingwall.Domain]time.Time, len(next))
+	for d := range next {
+		silent[d] = cmp.Or(t.silentFrom[d], silentFrom)
+	}
+	t.silentFrom = silent
 	e.setEvacuations(next, from)
 }
 
--- a/core/edge/reach.go
+++ b/core/edge/reach.go
@@ -330,6 +330,13 @@
 	}
 }
 
+// Silenced returns the addresses of the endpoints whose failure domains are to be empty, with the
+// time from which they are asked nothing either. The result must not be changed.
+func (e *Edge) Silenced() map[netip.AddrPort]time.Time {
+	e.Paths()
+	return e.endpoints.silenced
+}
+
 // probe requests a connection to an endpoint without a tunnel.
 func (e *Edge) probe(row *endpoint) {
 	e.emit(Probe{
@@ -605,7 +612,7 @@
 func (e *Edge) Paths() map[netip.AddrPort]bool {
 	t := &e.endpoints
 	if t.paths == nil {
-		t.evacuated = nil
+		t.evacuated, t.silenced = nil, nil
 		t.paths = make(map[netip.AddrPort]bool, len(t.rows))
 		for _, row := range t.rows {
 			if !row.evacuated {
@@ -614,7 +621,9 @@
 			}
 			if t.evacuated == nil {
 				t.evacuated = map[Instance]time.Time{}
+				t.silenced = map[netip.AddrPort]time.Time{}
 			}
+			t.silenced[row.replica.Address] = e.evacuations.silentFrom[row.replica.Domain]
 			t.evacuated[Instance{Endpoint: row.replica.Endpoint, Born: row.replica.Born}] = e.now.Add(unlimited)
 		}
 	}
--- a/relay/control.go
+++ b/relay/control.go
@@ -130,6 +130,7 @@
 		cold:         r.edge.ColdInstances(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
+		silenced:     r.edge.Silenced(),
 		evacuated:    evacuated,
 	})
 }
--- a/relay/instance.go
+++ b/relay/instance.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -75,7 +76,8 @@
 
 // readReport asks an endpoint for its report. The error means that there is no answer. The
 // connection is a new one, unless there is a companion, so that no late answer to an earlier
-// request is taken for this one.
+// request is taken for this one. An endpoint whose failure domain
+// is to be empty is asked no later than a request may reach it.
 func (r *Relay) readReport(ctx context.Context, a edge.AskInstance, companion *origin.Companion) (report, error) {
 	head, closeHead := r.waiting.Open()
 	defer closeHead()
@@ -91,6 +93,7 @@
 		DialTimeout:   a.Timeout,
 		NewConnection: true,
 		Companion:     companion,
+		Withhold:      func() bool { return r.isSilenced(a.Address) },
 		Head:          head,
 	})
 	if err != nil {
@@ -105,6 +108,12 @@
 	return out, nil
 }
 
+// isSilenced reports whether an endpoint is asked nothing.
+func (r *Relay) isSilenced(address netip.AddrPort) bool {
+	from, ok := r.sharedState.Load().silenced[address]
+	return ok && !time.Now().Before(from)
+}
+
 // reportText reads a report that may end with its connection: one that is cut can't be parsed.
 type reportText struct {
 	*origin.Answer
@@ -177,7 +186,7 @@
 			ending.Confirmed = edge.ByReport
 			return true
 		}
-		if errors.Is(err, origin.ErrUnreachable) {
+		if errors.Is(err, origin.ErrUnreachable) || errors.Is(err, origin.ErrExpired) {
 			return false
 		}
 		select {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -169,6 +169,9 @@
 	// withheld are the instances to which nothing may be sent, see edge.Edge.Withheld.
 	withheld map[edge.Instance]time.Time
 
+	// silenced are the addresses of endpoints that are asked nothing, see edge.Edge.Silenced.
+	silenced map[netip.AddrPort]time.Time
+
 	// evacuated counts the failure domains that are to be empty.
 	evacuated int
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -38,6 +38,9 @@
 	relays  []*testRelay
 	calls   int
 
+	// evacuate is settings.Edge.Evacuate of the relays that are started next; zero for the default.
+	evacuate time.Duration
+
 	// linkMbps is the link speed of the relays that are started next; zero if it
 	// is unknown.
 	linkMbps int
@@ -119,6 +122,7 @@
 	s := settings.Edge{
 		VM:           waxwingwall.VM(vm),
 		Domain:       "d1",
+		Evacuate:     f.evacuate,
 		Callers:      freePort(f.t),
 		Readiness:    freePort(f.t),
 		Directory:    freePort(f.t),
