core/edge: requests that wait for a cold endpoint go to a failure domain that is back

Cause: requests for which all usable endpoints are cold wait for a permit until their objective; only an endpoint that became warm ended that, not warm ones whose failure domain is taken back.

Change: that ends the wait as well.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -163,7 +163,8 @@
 	// coldEndpoints counts the endpoints with the limit of cold ones.
 	coldEndpoints int
 
-	// warmed are the services of endpoints that have become warm since the last tick.
+	// warmed are the services of endpoints that have become warm, or whose failure domain was
+	// taken back, since the last tick.
 	warmed []waxwingwall.Model
 
 	// permits are the requests that wait for a permit, by the ID of their ask.
--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -305,6 +305,7 @@
 	row.returnsAt = time.Time{}
 	if !evacuated {
 		row.returnsAt = e.now
+		e.warmed = append(e.warmed, row.replica.Service)
 	}
 	e.endpoints.paths = nil
 }
--- a/core/edge/evacuationcold_test.go
+++ b/core/edge/evacuationcold_test.go
@@ -111,3 +111,33 @@
 		})
 	}
 }
+
+// TestReturnEndsWait: requests wait for the permits of cold endpoints, as all others are in a
+// failure domain that is to be empty. They go to these once it is taken back.
+func TestReturnEndsWait(t *testing.T) {
+	h := newColdHarness(t)
+	all := engines(4)
+	for i := range all {
+		all[i].Born, all[i].Domain, all[i].Cold = 1, "east", 3*time.Second
+	}
+	all[3].Domain, all[3].Cold = "west", 0
+	h.step(Replicas{Replicas: all, Revision: h.edge.endpoints.revision + 1})
+	h.evacuate(20, "west")
+	h.advance(500 * time.Millisecond)
+	for range 16 {
+		h.arrive(short())
+	}
+	waiting := len(h.edge.permits)
+	if waiting == 0 {
+		t.Fatal("no request waits")
+	}
+	sent := 0
+	for _, a := range append(h.evacuate(21), h.advance(50*time.Millisecond)...) {
+		if d, ok := a.(Dispatch); ok && d.Address == all[3].Address {
+			sent++
+		}
+	}
+	if sent == 0 || len(h.edge.permits) != 0 {
+		t.Errorf("%d of %d are sent to the domain that is back, %d wait", sent, waiting, len(h.edge.permits))
+	}
+}
