core/edge: tests of paths and permits leave evacuated failure domains alone, tested

Four filters could be taken out without a failing test: those of the limiter, of tests of the link, of idle services and of healed ones. TestEvacuatedIsNotTested fails without either of the first two.

--- a/core/edge/evacuationage_test.go
+++ b/core/edge/evacuationage_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"waxwingwall"
 	"waxwingwall/core/effect"
 )
 
@@ -59,3 +60,32 @@
 		})
 	}
 }
+
+// TestEvacuatedIsNotTested: nobody sends requests, and updates from the store are late, so that
+// connections to endpoints are tested. None is to a failure domain that is to be empty, and no
+// permit is granted there.
+func TestEvacuatedIsNotTested(t *testing.T) {
+	h := newDomainHarness(t)
+	h.arrive(call("order"))
+	h.evacuate(20, "west")
+	tested := map[waxwingwall.Domain]int{}
+	for range 60 {
+		for _, a := range h.advance(time.Second) {
+			if p, ok := a.(Probe); ok {
+				for _, row := range h.edge.endpoints.rows {
+					if row.replica.Address == p.Address {
+						tested[row.replica.Domain]++
+					}
+				}
+			}
+		}
+	}
+	if tested["west"] > 0 || tested["east"] == 0 {
+		t.Errorf("tested %v", tested)
+	}
+	for id, row := range h.edge.endpoints.rows {
+		if _, usable, _ := h.edge.lookupEndpoint(id); usable != (row.replica.Domain == "east") {
+			t.Errorf("permits for %s: %v", id, usable)
+		}
+	}
+}
