--- a/core/edge/evacuationage_test.go
+++ b/core/edge/evacuationage_test.go
@@ -61,31 +61,43 @@
 	}
 }
 
-// TestEvacuatedIsNotTested: nobody sends requests, and updates from the store are late, so that
-// connections to endpoints are tested. None is to a failure domain that is to be empty, and no
-// permit is granted there.
+// TestEvacuatedIsNotTested: nobody sends requests, so that connections to endpoints are tested:
+// while updates from the store are late, while all is well and while a service is cut off. None is
+// to a failure domain that is to be empty, and no permit is granted there.
 func TestEvacuatedIsNotTested(t *testing.T) {
-	h := newDomainHarness(t)
-	h.arrive(call("order"))
-	h.evacuate(20, "west")
-	tested := map[waxwingwall.Domain]int{}
-	for range 60 {
-		for _, a := range h.advance(time.Second) {
-			if p, ok := a.(Probe); ok {
-				for _, row := range h.edge.endpoints.rows {
-					if row.replica.Address == p.Address {
-						tested[row.replica.Domain]++
+	for name, each := range map[string]func(h *harness){
+		"late updates": func(*harness) {},
+		"idle":         (*harness).refresh,
+		"cut off": func(h *harness) {
+			h.refresh()
+			for _, row := range h.edge.endpoints.rows {
+				row.tunneled = true
+				h.edge.reach.service(row.replica.Service).cut = true
+			}
+		},
+	} {
+		h := newDomainHarness(t)
+		h.evacuate(20, "west")
+		tested := map[waxwingwall.Domain]int{}
+		for range 120 {
+			each(h)
+			for _, a := range h.advance(500 * time.Millisecond) {
+				if p, ok := a.(Probe); ok {
+					for _, row := range h.edge.endpoints.rows {
+						if row.replica.Address == p.Address {
+							tested[row.replica.Domain]++
+						}
 					}
 				}
 			}
 		}
-	}
-	if tested["west"] > 0 || tested["east"] == 0 {
-		t.Errorf("tested %v", tested)
-	}
-	for id, row := range h.edge.endpoints.rows {
-		if _, usable, _ := h.edge.lookupEndpoint(id); usable != (row.replica.Domain == "east") {
-			t.Errorf("permits for %s: %v", id, usable)
+		if tested["west"] > 0 || tested["east"] == 0 {
+			t.Errorf("%s: tested %v", name, tested)
+		}
+		for id, row := range h.edge.endpoints.rows {
+			if _, usable, _ := h.edge.lookupEndpoint(id); usable != (row.replica.Domain == "east") {
+				t.Errorf("%s: permits for %s: %v", name, id, usable)
+			}
 		}
 	}
 }
