--- a/core/edge/evacuation.go
+++ b/core/edge/evacuation.go
@@ -116,6 +116,10 @@
 	// since are the domains in force, with the time from which they are at this router.
 	since map[waxwingwall.Domain]time.Time
 
+	// silentFrom is the time from which endpoints of a domain in force aren't asked whether they run
+	// either: it was not to be empty as of the set before, and may be asked until the bound.
+	silentFrom map[waxwingwall.Domain]time.Time
+
 	// kept are those of since that are missing in the store since it came back from a copy,
 	// with the time until which they stay in force.
 	kept map[waxwingwall.Domain]time.Time
@@ -149,8 +153,8 @@
 	return len(e.evacuations.since)
 }
 
-// handleEvacuated applies an update from the store. An update of an earlier revision than
-// that of a peer says nothing new.
+// handleEvacuated applies an update from the store. One of an earlier revision than that of a
+// peer says only as of when this router's set holds all changes: it holds those of the update.
 func (e *Edge) handleEvacuated(ev Evacuated) {
 	s := EvacuationState{
 		Domains:  ev.Domains,
@@ -164,11 +168,16 @@
 	if asOf.IsZero() {
 		asOf = e.now
 	}
+	if s.Revision < e.evacuations.revision {
+		e.dateEvacuations(asOf)
+		return
+	}
 	e.mergeEvacuations(s, asOf, "store")
 }
 
-// learnEvacuations applies what a peer knows.
-func (e *Edge) learnEvacuations(from waxwingwall.Incarnation, s EvacuationState) {
+// learnEvacuations applies what a peer knows. asOf is a time before which that holds all
+// changes; zero if nothing but the age tells.
+func (e *Edge) learnEvacuations(from waxwingwall.Incarnation, s EvacuationState, asOf time.Time) {
 	if !s.known() {
 		return
 	}
@@ -181,8 +190,12 @@
 		age:        s.Age,
 		receivedAt: e.now,
 	}
-	asOf := time.Time{}
-	if e.link.queueDelay(e.now) == 0 {
+	if s.Revision < t.revision {
+		// This router's set holds the changes of the peer's.
+		e.dateEvacuations(asOf)
+		return
+	}
+	if asOf.IsZero() && e.link.queueDelay(e.now) == 0 {
 		asOf = e.now.Add(-s.Age - reportTransit)
 	}
 	e.mergeEvacuations(s, asOf, from.String())
@@ -194,10 +207,11 @@
 	if s.Revision < t.revision {
 		return
 	}
-	if asOf.After(t.asOf) {
-		t.asOf = asOf
-		t.staleLogged = false
+	silentFrom := e.now
+	if !t.asOf.IsZero() {
+		silentFrom = t.asOf.Add(e.bounds.Evacuate - sendReserve)
 	}
+	e.dateEvacuations(asOf)
 	if s.Revision == t.revision {
 		return
 	}
@@ -223,9 +237,22 @@
 			next[d] = since
 		}
 	}
+	silent := make(map[waxwingwall.Domain]time.Time, len(next))
+	for d := range next {
+		silent[d] = cmp.Or(t.silentFrom[d], silentFrom)
+	}
+	t.silentFrom = silent
 	e.setEvacuations(next, from)
 }
 
+// dateEvacuations records that the set holds all changes before a time, which may be zero.
+func (e *Edge) dateEvacuations(asOf time.Time) {
+	if t := &e.evacuations; asOf.After(t.asOf) {
+		t.asOf = asOf
+		t.staleLogged = false
+	}
+}
+
 // setEvacuations puts the domains in force, and takes others back.
 func (e *Edge) setEvacuations(next map[waxwingwall.Domain]time.Time, from string) {
 	t := &e.evacuations
@@ -278,6 +305,7 @@
 	row.returnsAt = time.Time{}
 	if !evacuated {
 		row.returnsAt = e.now
+		e.warmed = append(e.warmed, row.replica.Service)
 	}
 	e.endpoints.paths = nil
 }
--- a/relay/control.go
+++ b/relay/control.go
@@ -134,6 +134,7 @@
 		routing:      r.edge.Routing(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
+		silenced:     r.edge.Silenced(),
 		evacuated:    evacuated,
 	})
 }
