core/edge: the time to come back in an outage follows how long outages last

Callers come back once, and a refusal while the store is away said 2 s, with up to as much of jitter, however long the cut was: cuts last 8 to 9 s, so the only other try was refused as well. The log of budget_short has the outage and its estimate.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -128,14 +128,22 @@
 	case escrow.OutOfReach:
 		r.waiting = false
 		e.logBudgetShort(r, verdict)
-		retryAfter := verdict.RetryAfter
-		if verdict.Reason == escrow.ReasonTableUnreachable {
-			retryAfter = outageRetryAfter
-		}
-		e.refuse(r, e.unavailableProblem("budget_out_of_reach", "no share of the budget can be had now", retryAfter))
+		e.refuse(r, e.outOfReachProblem(r, verdict))
 	}
 }
 
+// outOfReachProblem returns the answer to a request whose tokens are not available now.
+func (e *Edge) outOfReachProblem(r *request, v escrow.Verdict) *waxwingwall.Problem {
+	const (
+		code    = "budget_out_of_reach"
+		message = "no share of the budget can be had now"
+	)
+	if v.Reason == escrow.ReasonTableUnreachable {
+		return notRunProblem(code, message, e.outageRetryAfter(r.rank))
+	}
+	return e.unavailableProblem(code, message, v.RetryAfter)
+}
+
 // logBudgetShort logs why the tokens for a request can't be reserved.
 func (e *Edge) logBudgetShort(r *request, v escrow.Verdict) {
 	s := e.book.Balance(r.budget)
@@ -143,7 +151,8 @@
 		field("budget", r.budget), field("verdict", v.Kind.String()), field("reason", v.Reason), field("worst", r.call.WorstCase()),
 		field("free", s.Free), field("spare", s.Spare), field("granted", s.Granted), field("allowance", s.Allowance),
 		field("reserved", s.Reserved), field("pool", s.Pool), field("pool_known", s.PoolKnown),
-		field("pool_version", s.PoolVersion), field("total", s.Total), field("store_lost", e.endpoints.storeUnavailable))
+		field("pool_version", s.PoolVersion), field("total", s.Total), field("store_lost", e.endpoints.storeUnavailable),
+		field("outage", e.outages.lasted(e.now)), field("outage_left", e.outages.left(e.now)))
 }
 
 // logTrade logs a change of a share.
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -166,6 +166,9 @@
 	// limiterStale is set if the routers that limits and guard know are out of date.
 	limiterStale bool
 
+	// outages are those of the store, as the endpoints' table and the shares show them.
+	outages outages
+
 	// durations are the times of requests by the name of their route.
 	durations map[string]*duration
 
@@ -268,6 +271,7 @@
 // Step processes an event and returns the resulting actions.
 func (e *Edge) Step(now time.Time, ev effect.Event) []effect.Action {
 	e.now = now
+	e.outages.observe(now, e.endpoints.storeUnavailable || e.book.TableAway())
 	e.endPauses()
 	switch ev := ev.(type) {
 	case Arrived:
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -14,11 +14,6 @@
 	// available; a jitter of up to the same length is added.
 	defaultRetryAfter = 200 * time.Millisecond
 
-	// outageRetryAfter is the Retry-After time while the budget's row is
-	// unavailable. Outages of the store last for seconds, so a caller that retried
-	// sooner would use up its few attempts.
-	outageRetryAfter = 2 * time.Second
-
 	// minAttemptTime is the minimum time before the deadline to start an attempt.
 	minAttemptTime = 50 * time.Millisecond
 
@@ -672,6 +667,11 @@
 	if retryAfter > 0 {
 		retryAfter += e.jitter(retryAfter)
 	}
+	return notRunProblem(code, message, retryAfter)
+}
+
+// notRunProblem returns the answer to a request that can be repeated after a time, as it is.
+func notRunProblem(code, message string, retryAfter time.Duration) *waxwingwall.Problem {
 	return &waxwingwall.Problem{
 		Status:     http.StatusServiceUnavailable,
 		Code:       code,
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -447,6 +447,11 @@
 	}
 }
 
+// TableAway reports whether the last call to the table was lost.
+func (b *Book) TableAway() bool {
+	return b.tableDown
+}
+
 // Draining reports whether Drain was called.
 func (b *Book) Draining() bool {
 	return b.draining
