--- a/core/effect/effect.go
+++ b/core/effect/effect.go
@@ -82,6 +82,10 @@
 
 	// Versions are the new versions, one for each write, if Result is Done.
 	Versions []int64
+
+	// Clock is the table's clock as it answered, or earlier, but after the call was made; zero
+	// if the table does not tell.
+	Clock waxwingwall.StoreClock
 }
 
 // Result is the result of an action on the platform.
@@ -134,6 +138,10 @@
 
 	// Rows are in the order of the requested keys; absent rows have version 0.
 	Rows []waxwingwall.Row
+
+	// Clock is the table's clock as it answered first; zero if the table does not tell. It is
+	// after the call was made.
+	Clock waxwingwall.StoreClock
 }
 
 // Send requests a message to a peer. Messages may be lost, duplicated, delayed
--- a/io/table/table.go
+++ b/io/table/table.go
@@ -55,6 +55,8 @@
 // Perform performs one action on the table and returns its answer, or nil for
 // an action of another kind.
 func Perform(ctx context.Context, t waxwingwall.Table, a effect.Action) effect.Event {
+	var clock waxwingwall.StoreClock
+	ctx = waxwingwall.WithStoreClock(ctx, &clock)
 	switch a := a.(type) {
 	case effect.Transact:
 		versions, err := t.Transact(ctx, a.Writes)
@@ -62,15 +64,19 @@
 			ID:       a.ID,
 			Result:   ResultOf(err),
 			Versions: versions,
+			Clock:    clock,
 		}
 	case effect.Read:
-		return read(ctx, t, a)
+		out := read(ctx, t, a)
+		out.Clock = clock
+		return out
 	case effect.List:
 		rows, err := t.List(ctx, a.Prefix)
 		return effect.Rows{
 			ID:     a.ID,
 			Result: ResultOf(err),
 			Rows:   rows,
+			Clock:  clock,
 		}
 	}
 	return nil
--- a/platform.go
+++ b/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"time"
 )
 
 // Row is one row of the platform's table.
@@ -51,6 +52,31 @@
 	ErrConflict = errors.New("version conflict")
 )
 
+// StoreClock is a time by the steady clock of the platform's table. Its zero value is no time.
+type StoreClock struct {
+	// Era counts the copies that the table came back from; Now is the time since an instant
+	// that is the same within an era.
+	Era int64
+	Now time.Duration
+}
+
+// storeClockKey is the key of the value of WithStoreClock.
+type storeClockKey struct{}
+
+// WithStoreClock returns a context in which a call to a Table records in clock the time at which
+// the table made its first answer, if the table tells.
+func WithStoreClock(ctx context.Context, clock *StoreClock) context.Context {
+	return context.WithValue(ctx, storeClockKey{}, clock)
+}
+
+// RecordStoreClock records the time of an answer for the caller of WithStoreClock, if there is
+// one. A Table calls it before the call returns.
+func RecordStoreClock(ctx context.Context, clock StoreClock) {
+	if into, ok := ctx.Value(storeClockKey{}).(*StoreClock); ok && *into == (StoreClock{}) {
+		*into = clock
+	}
+}
+
 // Table is the platform's transactional table.
 type Table interface {
 	// Transact applies all writes atomically and returns the new versions. It
