core/escrow, core/edge: marks of shares in the store, by its clock

What is held bridges a cut, and was lost when all routers died: the keepers of marks are dead too. And in a cut from the store and from each other a router could use no more than the lead of its marks, as no keeper answered. With a store that tells its clock a share row now has a mark for each budget and a time before which it was not sent. The owner stays within the marks of all rows that may be in force for 2.5 s since it sent them, then all of its share is free. Whoever closes a share whose process had ended sooner than that after the row's time gives back all above the mark. When it had ended is shown by the first answer to the process after it, which that one writes into its own row; a process that lives is never closed so. Such shares hold 60 to 90 in 100 of what is left instead of 20 to 40, for 25 s, and need no keepers. Without a clock all is as before.

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -42,6 +42,7 @@
 		}
 		if i.VM == e.Self.VM || e.isReplaced(i, peers) {
 			opts = append(opts, escrow.WithEnded())
+			opts = append(opts, e.marksInTable(i)...)
 		}
 		e.closers = append(e.closers, &closeTask{
 			closer: escrow.NewCloser(i, nil, opts...),
@@ -84,6 +85,9 @@
 	delay, quiet := silentCloseDelay, e.touchTTL()
 	if e.isReplaced(dead, peers) {
 		delay, quiet = replacedCloseDelay, time.Duration(touchTTLIntervals*float64(minTouchInterval))
+		if e.births.first.Known() && !e.endedBy(dead).Known() {
+			delay = unprovenCloseDelay
+		}
 	}
 	if e.now.Sub(n.deadSince) < delay || e.now.Sub(n.changedAt) < quiet {
 		return false
@@ -162,7 +166,7 @@
 			for _, share := range c.closer.Shares {
 				e.log("share_closed", "", field("node", c.closer.Dead.String()), field("budget", share.Budget),
 					field("returned", share.Returned), field("retained", share.Retained),
-					field("lost", share.Lost), field("unmarked", share.Unmarked()))
+					field("lost", share.Lost), field("unmarked", share.Unmarked()), field("proof", share.Proof()))
 			}
 			e.log("closed", "", field("node", c.closer.Dead.String()), field("returned", c.closer.Returned))
 			e.deleteNode(c.closer.Dead)
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -169,6 +169,9 @@
 	// outages are those of the store, as the endpoints' table and the shares show them.
 	outages outages
 
+	// births tell when processes have ended.
+	births births
+
 	// durations are the times of requests by the name of their route.
 	durations map[string]*duration
 
@@ -302,8 +305,12 @@
 		e.handleMessage(ev)
 		e.stepComponents(ev)
 	case effect.Transacted:
+		e.births.observe(ev.Clock)
 		e.handleTransacted(ev)
 		e.stepComponents(ev)
+	case effect.Rows:
+		e.births.observe(ev.Clock)
+		e.stepComponents(ev)
 	case Dialed:
 		e.handleDialed(ev)
 	case TunnelProbed:
--- /dev/null
+++ b/core/edge/ended.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"time"
+
+	"waxwingwall"
+	"waxwingwall/core/escrow"
+)
+
+// unprovenCloseDelay is how long a router must have been dead before its shares are closed by
+// others if a newer incarnation of its VM has started, but has not told when: without that, all
+// that it held counts as spent, and the newer one closes them itself.
+const unprovenCloseDelay = 6 * time.Second
+
+// births tell when processes have ended, by the table's clock: the process of a VM that runs now
+// had its first answer from the table after the one before it had ended.
+type births struct {
+	// first is the table's clock in the first answer to this process, and written is set once
+	// the router's row has it.
+	first            escrow.RowClock
+	written, pending bool
+
+	// renewed is set once the process goes on as a newer incarnation. The one before it did not
+	// end before first, so its row does not have it.
+	renewed bool
+}
+
+// observe records the clock of an answer of the table.
+func (b *births) observe(c waxwingwall.StoreClock) {
+	if !b.first.Known() {
+		b.first = escrow.ClockOf(c)
+	}
+}
+
+// clock returns the clock for the router's row.
+func (b *births) clock() escrow.RowClock {
+	if b.renewed {
+		return escrow.RowClock{}
+	}
+	return b.first
+}
+
+// outdated reports whether the router's row lacks the clock.
+func (b *births) outdated() bool {
+	return !b.written && b.clock().Known()
+}
+
+// endedBy returns a time by the table's clock by which the process of a dead incarnation of
+// another VM had ended; it is not known if no newer incarnation tells.
+func (e *Edge) endedBy(dead waxwingwall.Incarnation) escrow.RowClock {
+	var earliest escrow.RowClock
+	boot := int64(0)
+	for i, n := range e.nodes.rows {
+		if i.VM == dead.VM && i.Boot > dead.Boot && n.row.Clock.Known() && (boot == 0 || i.Boot < boot) {
+			earliest, boot = n.row.Clock, i.Boot
+		}
+	}
+	return earliest
+}
+
+// marksInTable returns the option that closes the shares of a dead incarnation by marks in the
+// table, if it is proven when it had ended.
+func (e *Edge) marksInTable(dead waxwingwall.Incarnation) []escrow.CloserOption {
+	if dead.VM == e.Self.VM {
+		// This process runs, or has run itself as that incarnation.
+		return []escrow.CloserOption{escrow.WithMarksInTable(escrow.RowClock{})}
+	}
+	if by := e.endedBy(dead); by.Known() {
+		return []escrow.CloserOption{escrow.WithMarksInTable(by)}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/edge/ended_test.go
@@ -0,0 +1,73 @@
+package edge
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"waxwingwall"
+	"waxwingwall/core/effect"
+	"waxwingwall/core/escrow"
+)
+
+// TestBirth checks that a router's row tells the store's clock in the first answer to its process,
+// and no longer once the process goes on as a newer incarnation: the one before did not end then.
+func TestBirth(t *testing.T) {
+	h := newHarness(t)
+	clock := func(out []effect.Action) escrow.RowClock {
+		var row nodeRow
+		if err := json.Unmarshal([]byte(only[effect.Transact](h, out).Writes[0].Value), &row); err != nil {
+			t.Fatal(err)
+		}
+		return row.Clock
+	}
+	first := only[effect.Transact](h, h.step(effect.Tick{}))
+	answer := written(first)
+	answer.Clock = waxwingwall.StoreClock{Era: 1, Now: 7 * time.Second}
+	out := append(h.step(answer), h.step(effect.Tick{})...)
+	if got, want := clock(out), (escrow.RowClock{Era: 1, Ms: 7_000}); got != want {
+		t.Errorf("the row has the clock %+v, want %+v", got, want)
+	}
+	second := written(only[effect.Transact](h, out))
+	second.Clock = waxwingwall.StoreClock{Era: 1, Now: 9 * time.Second}
+	if out := append(h.step(second), h.step(effect.Tick{})...); has[effect.Transact](out) {
+		t.Errorf("the row is written again: %+v", out)
+	}
+	h.renew()
+	if got := clock(h.step(effect.Tick{})); got.Known() {
+		t.Errorf("the row of a renewed incarnation has the clock %+v", got)
+	}
+}
+
+// TestEndedBy guards against shares that are closed by marks though it is not proven when the
+// process had ended: of a silent router, of one whose successor does not tell, and by the clock
+// of an incarnation before it. Only the earliest successor tells soonest.
+func TestEndedBy(t *testing.T) {
+	dead := waxwingwall.Incarnation{VM: "vm-2", Boot: 5}
+	for _, c := range []struct {
+		name   string
+		clocks map[int64]int64
+		want   int64
+	}{
+		{"silent", nil, 0},
+		{"an earlier one", map[int64]int64{4: 1_000}, 0},
+		{"its own", map[int64]int64{5: 1_000}, 0},
+		{"a successor without", map[int64]int64{6: 0}, 0},
+		{"two successors", map[int64]int64{7: 9_000, 6: 4_000}, 4_000},
+		{"the second alone", map[int64]int64{6: 0, 7: 9_000}, 9_000},
+	} {
+		h := newHarness(t)
+		for boot, ms := range c.clocks {
+			h.edge.nodes.rows[waxwingwall.Incarnation{VM: dead.VM, Boot: boot}] = &node{row: nodeRow{Clock: escrow.RowClock{Ms: ms}}}
+		}
+		if got := h.edge.endedBy(dead); got.Ms != c.want {
+			t.Errorf("%s: ended by %d, want %d", c.name, got.Ms, c.want)
+		}
+		if closes := len(h.edge.marksInTable(dead)) > 0; closes != (c.want > 0) {
+			t.Errorf("%s: closed by marks: %v", c.name, closes)
+		}
+	}
+	if _, err := decodeNode(dead, `{"peers":"10.0.0.2:1","callers":"10.0.0.2:2","clock":{"ms":-5}}`); err == nil {
+		t.Error("a row with an absurd clock is used")
+	}
+}
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -93,6 +93,10 @@
 	// PeersEra is the StoreEra.MinVersion in which the router has also written the rows
 	// of dead routers, as far as it knows of their draws.
 	PeersEra int64 `json:"peers_era,omitempty"`
+
+	// Clock is the store's clock in the first answer to the process: those before it on the VM
+	// had ended by then. It is zero if that is not known.
+	Clock escrow.RowClock `json:"clock,omitzero"`
 }
 
 // node is a router according to its row.
@@ -307,6 +311,8 @@
 		return content, fmt.Errorf("invalid link speed %d", content.LinkMbps)
 	case content.Era < 0 || content.PeersEra < 0:
 		return content, fmt.Errorf("invalid era: %d, %d", content.Era, content.PeersEra)
+	case !content.Clock.Valid():
+		return content, fmt.Errorf("invalid clock: %+v", content.Clock)
 	}
 	return content, nil
 }
@@ -391,6 +397,8 @@
 
 func (e *Edge) renewAs(boot int64, reason string) {
 	before := e.Self
+	e.births.renewed = true
+	e.births.written = false
 	for _, r := range e.requests {
 		// The old book's reservations are covered by its allowance, which the router
 		// that closed it counts as spent.
@@ -422,7 +430,7 @@
 		t.pendingCall = 0
 	}
 	touch := t.registered && t.peerUnresponsive && e.now.Sub(t.touchedAt) >= e.touchInterval()
-	outdated := t.written != e.eras() || e.versions.rowOutdated(e.now)
+	outdated := t.written != e.eras() || e.births.outdated() || e.versions.rowOutdated(e.now)
 	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch && !outdated {
 		return
 	}
@@ -456,6 +464,7 @@
 		Builds:   e.versions.row,
 		Era:      e.eras().own,
 		PeersEra: e.eras().peers,
+		Clock:    e.births.clock(),
 	})
 	if err != nil {
 		panic(err) // The row contains only values that JSON can encode.
@@ -463,6 +472,7 @@
 	e.callSeq++
 	t.pendingCall = e.callSeq
 	t.pendingEras = e.eras()
+	e.births.pending = e.births.clock().Known()
 	e.versions.pending = e.versions.row
 	t.calledAt = e.now
 	e.emit(effect.Transact{
@@ -489,6 +499,7 @@
 		return
 	}
 	t.written = t.pendingEras
+	e.births.written = e.births.pending
 	e.versions.written = e.versions.pending
 	if !t.registered {
 		t.registered = true
--- /dev/null
+++ b/core/escrow/clock_test.go
@@ -0,0 +1,342 @@
+package escrow
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"waxwingwall"
+	"waxwingwall/core/effect"
+)
+
+// newClockedWorld is like newEvenWorld with a table that tells its clock.
+func newClockedWorld(seed uint64, nodes int, paid waxwingwall.Tokens) *world {
+	w := newEvenWorld(seed, nodes, paid)
+	w.clock = true
+	return w
+}
+
+// reserveAll makes requests of a size until one is not granted.
+func (n *testNode) reserveAll(size waxwingwall.Tokens) {
+	kind := Granted
+	for kind == Granted {
+		kind = n.request(shop, size)
+	}
+}
+
+// checkClocked checks that what is spent never exceeds what was paid if nodes go beyond their
+// marks, cut off from the table or from peers, frozen, or die at any time and are closed soon
+// after or late, and all that is left is spent after each closing. With restores, the table comes
+// back from copies as well; then no writes or messages are lost, as only they show what it forgot.
+func checkClocked(t *rapid.T, restores bool) {
+	paid := waxwingwall.Tokens(rapid.IntRange(20_000, 200_000).Draw(t, "paid"))
+	w := newClockedWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "nodes"), paid)
+	w.delay = time.Duration(rapid.IntRange(2, 60).Draw(t, "delay")) * time.Millisecond
+	w.loseAnswer = rapid.IntRange(0, 20).Draw(t, "lost answers")
+	kinds := 9
+	if restores {
+		kinds = 11
+	} else {
+		w.loseWrite = rapid.IntRange(0, 40).Draw(t, "lost writes")
+		w.loseMessage = rapid.IntRange(0, 30).Draw(t, "lost messages")
+	}
+	w.run(500 * time.Millisecond)
+	copied := maps.Clone(w.rows)
+	for range rapid.IntRange(1, 30).Draw(t, "steps") {
+		n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+		switch rapid.IntRange(0, kinds).Draw(t, "step") {
+		case 0, 1, 2:
+			for range rapid.IntRange(1, 12).Draw(t, "requests") {
+				n.request(shop, paid/waxwingwall.Tokens(rapid.IntRange(10, 800).Draw(t, "part")))
+				w.run(10 * time.Millisecond)
+			}
+		case 3:
+			for len(n.running) > 0 && !n.dead && !n.paused {
+				n.finish(0, waxwingwall.Tokens(rapid.Int64Range(0, int64(n.running[0].tokens)).Draw(t, "used")))
+			}
+		case 4:
+			n.cutOff = !n.cutOff
+		case 5:
+			switch {
+			case restores:
+			case n.paused:
+				n.resume()
+			default:
+				n.paused = true
+			}
+		case 6:
+			// Whatever it may let go in the moment before its death.
+			if !n.dead && !n.paused {
+				for size := paid; size > 0; size /= 2 {
+					n.reserveAll(size)
+				}
+			}
+			n.dead = true
+			w.updatePeers()
+		case 7, 8:
+			if n.dead || !restores && rapid.Bool().Draw(t, "live") {
+				w.close(n, false)
+			}
+		case 9:
+			w.tableDown = !w.tableDown
+		case 10:
+			copied = maps.Clone(w.rows)
+		case 11:
+			w.restore(copied)
+		}
+		for range rapid.SampledFrom([]int{1, 10, 40, 200, 350}).Draw(t, "wait") {
+			w.run(10 * time.Millisecond)
+			w.resume()
+		}
+	}
+	w.tableDown = false
+	for range 400 {
+		w.run(10 * time.Millisecond)
+		w.resume()
+	}
+	for _, n := range w.live() {
+		n.cutOff = false
+		if !n.paused {
+			n.spendAll()
+		}
+	}
+	if spent := w.spent(shop); spent > paid {
+		t.Fatalf("%d spent of %d paid", spent, paid)
+	}
+}
+
+// TestClockedNeverOverspent checks that closing by marks in the table returns nothing that was
+// spent.
+func TestClockedNeverOverspent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkClocked(t, false) })
+}
+
+// TestClockedNeverOverspentAfterRestore checks the same if the table comes back from copies.
+func TestClockedNeverOverspentAfterRestore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkClocked(t, true) })
+}
+
+// dieBeyond returns a world in which a node that is cut off has gone beyond its mark, as its row
+// was written so long ago, and died, and what it has left.
+func dieBeyond(t *testing.T, cut time.Duration) (*world, *testNode) {
+	t.Helper()
+	w := newClockedWorld(1, 2, 1_000_000)
+	w.run(2 * time.Second)
+	n := w.nodes[0]
+	n.cutOff = true
+	w.cut[[2]int{0, 1}] = true
+	w.run(cut)
+	n.reserveAll(100)
+	n.dead = true
+	return w, n
+}
+
+// TestFreeAfterCut checks that a node that is cut off from all others spends its mark at once and
+// all that it holds once the marks of its row no longer hold, and is then closed with all of its
+// allowance spent.
+func TestFreeAfterCut(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		cut := freeTime / 2
+		if late {
+			cut = freeTime + time.Second
+		}
+		w, n := dieBeyond(t, cut)
+		e := n.book.entry(shop)
+		if e.net() <= e.newestMark == late || e.net() == 0 {
+			t.Errorf("%s after the cut %d are spent, the mark is %d", cut, e.net(), e.newestMark)
+		}
+		granted := e.row.Granted
+		c := w.close(n, false)
+		w.run(2 * time.Second)
+		want := granted - e.newestMark
+		if late {
+			want = 0
+		}
+		if !c.Done() || c.Returned != want {
+			t.Errorf("%s after the cut: done %v, %d returned, want %d", cut, c.Done(), c.Returned, want)
+		}
+	}
+}
+
+// TestClosedLate guards against tokens that are returned by marks that may no longer have held
+// when the process ended.
+func TestClosedLate(t *testing.T) {
+	stamp := RowClock{Era: 1, Ms: 10_000}
+	for _, c := range []struct {
+		name    string
+		endedBy RowClock
+		want    bool
+	}{
+		{"soon", RowClock{Era: 1, Ms: 11_000}, true},
+		{"just in time", RowClock{Era: 1, Ms: 12_374}, true},
+		{"with a quick clock too late", RowClock{Era: 1, Ms: 12_375}, false},
+		{"too late", RowClock{Era: 1, Ms: 20_000}, false},
+		{"another era", RowClock{Era: 2, Ms: 11_000}, false},
+		{"an earlier era", RowClock{Ms: 11_000}, false},
+		{"the clock went back", RowClock{Era: 1, Ms: 9_000}, false},
+		{"no clock", RowClock{}, false},
+	} {
+		if got := stamp.proves(c.endedBy); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+	if (RowClock{}).proves(RowClock{Ms: 1}) {
+		t.Error("a row without a clock proves its marks")
+	}
+}
+
+// TestTableClock guards against times that the table's clock has not reached: with answers that
+// overtake each other, and a clock that goes back.
+func TestTableClock(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	var c tableClock
+	for _, step := range []struct {
+		at          time.Duration
+		answer      RowClock
+		want        int64
+		unavailable bool
+	}{
+		{0, RowClock{}, 0, true},
+		{0, RowClock{Ms: 10_000}, 10_000, false},
+		{time.Second, RowClock{}, 10_950, false},
+		{time.Second, RowClock{Ms: 10_500}, 10_950, false},
+		{time.Second, RowClock{Ms: 11_000}, 11_000, false},
+		{2 * time.Second, RowClock{Ms: 500}, 0, true},
+		{3 * time.Second, RowClock{Ms: 14_000}, 0, true},
+		{4 * time.Second, RowClock{Era: 1, Ms: 700}, 700, false},
+		{5 * time.Second, RowClock{Ms: 30_000}, 1_650, false},
+	} {
+		now := start.Add(step.at)
+		c.observe(now, step.answer)
+		if got, ok := c.read(now); ok == step.unavailable || ok && got.Ms != step.want {
+			t.Errorf("after %s, answer %+v: %+v, %v", step.at, step.answer, got, ok)
+		}
+	}
+	for _, answer := range []waxwingwall.StoreClock{{Now: -time.Second}, {Era: -1, Now: time.Second}, {Era: 1}} {
+		if clock := ClockOf(answer); clock.Known() {
+			t.Errorf("answer %+v: %+v", answer, clock)
+		}
+	}
+}
+
+// TestOldBuildsClocked checks that a build without marks in the table takes a row with them for
+// spent, and that a row that such a build has written is taken so.
+func TestOldBuildsClocked(t *testing.T) {
+	w := newClockedWorld(1, 2, 100_000)
+	w.run(2 * time.Second)
+	n := w.nodes[0]
+	stored := w.rows[n.book.shards[n.book.entry(shop).shard].key]
+	row, err := Decode[ShareRow](stored)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry, _ := row.Find(shop)
+	if !entry.Marked || entry.Kept || entry.Allowance != entry.Granted {
+		t.Fatalf("row %+v: want one that a build without marks takes for spent", row)
+	}
+	row.Clock, row.Entries[0].Marked, row.Entries[0].Mark, row.Entries[0].Used = RowClock{}, false, 0, 0
+	stored.Value = Encode(row)
+	w.rows[stored.Key] = stored
+	n.dead = true
+	c := w.close(n, false)
+	w.run(time.Second)
+	if !c.Done() || c.Returned != 0 {
+		t.Fatalf("done %v, %d returned of a row without marks", c.Done(), c.Returned)
+	}
+}
+
+// TestMarksWithoutAnswer guards against tokens that are spent beyond the mark of a row that may be
+// in force: one that a write without an answer should have replaced, and one that it has.
+func TestMarksWithoutAnswer(t *testing.T) {
+	for _, applied := range []bool{false, true} {
+		w := newClockedWorld(1, 2, 1_000_000)
+		w.run(2 * time.Second)
+		n := w.nodes[0]
+		e := n.book.entry(shop)
+		if applied {
+			// The mark covers a reservation that is not used, and is lowered.
+			if n.serve(shop, 50_000) != Granted {
+				t.Fatal("refused")
+			}
+			w.run(clockInterval)
+			n.finish(0, 0)
+			w.loseDone = true
+			for range 100 {
+				if n.book.TableAway() {
+					break
+				}
+				w.run(10 * time.Millisecond)
+			}
+			n.cutOff = true
+		} else {
+			n.cutOff = true
+			n.request(shop, 50_000)
+			w.run(100 * time.Millisecond)
+		}
+		if len(e.stored) != 2 {
+			t.Fatalf("applied %v: %d marks may be in force, want that without an answer and the one before it", applied, len(e.stored))
+		}
+		n.reserveAll(100)
+		n.dead = true
+		n.cutOff = false
+		w.loseDone = false
+		spent, granted := e.net(), e.row.Granted
+		c := w.close(n, false)
+		w.run(time.Second)
+		if !c.Done() || c.Returned > granted-spent || c.Returned == 0 {
+			t.Errorf("applied %v: done %v, %d returned of %d with %d spent", applied, c.Done(), c.Returned, granted, spent)
+		}
+	}
+}
+
+// TestRowOfCopy guards against tokens that are returned by the mark of a row that a newer one had
+// replaced, as the table comes back from a copy while a Closer works.
+func TestRowOfCopy(t *testing.T) {
+	dead := waxwingwall.Incarnation{VM: "a", Boot: 1}
+	for _, era := range []int64{0, 1} {
+		c := NewCloser(dead, nil, WithCloserShards(1), WithEnded(), WithMarksInTable(RowClock{}))
+		now := time.Unix(1_800_000_000, 0)
+		row := waxwingwall.Row{
+			Key:     ShareKey(dead, 0),
+			Version: 1,
+			Value: Encode(ShareRow{
+				Clock:   RowClock{Ms: 10_000},
+				Entries: []ShareEntry{{Budget: shop, Granted: 1_000, Allowance: 1_000, Marked: true, Mark: 100}},
+			}),
+		}
+		budget := waxwingwall.Row{
+			Key:     BudgetKey(shop),
+			Version: 1,
+			Value:   Encode(BudgetRow{Total: 2_000, Granted: 1_000}),
+		}
+		clock := waxwingwall.StoreClock{Now: 11 * time.Second}
+		answer := func(actions []effect.Action, era int64, rows ...waxwingwall.Row) []effect.Action {
+			clock.Era = era
+			var id effect.ID
+			switch a := actions[0].(type) {
+			case effect.List:
+				id = a.ID
+			case effect.Read:
+				id = a.ID
+			}
+			return c.Step(now, effect.Rows{ID: id, Rows: rows, Clock: clock})
+		}
+		out := c.Step(now, effect.Tick{})
+		out = answer(out, 0, row)
+		out = answer(out, era, row)
+		out = answer(out, era, budget)
+		tx, ok := out[0].(effect.Transact)
+		if !ok || len(tx.Writes) != 2 {
+			t.Fatalf("era %d: %+v", era, out)
+		}
+		next, err := Decode[BudgetRow](waxwingwall.Row{Version: 1, Value: tx.Writes[1].Value})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := waxwingwall.Tokens(900 * (1 - era)); next.Returned != want {
+			t.Errorf("era %d of the row's answer: %d returned, want %d", era, next.Returned, want)
+		}
+	}
+}
--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// WithMarksInTable tells that the process had ended by a time of the table's clock, or if that is
+// zero before the Closer was made, so that shares are closed by the marks in the table. It must be
+// true: a process that lives may go beyond its mark.
+func WithMarksInTable(endedBy RowClock) CloserOption {
+	return func(c *Closer) {
+		c.byClock = true
+		c.endedBy = endedBy
+	}
+}
+
 // WithClosedBy sets the incarnation recorded as having closed the rows.
 func WithClosedBy(closedBy waxwingwall.Incarnation) CloserOption {
 	return func(c *Closer) {
@@ -130,9 +140,16 @@
 	sealAt       time.Time
 	unanswered   bool
 
-	// The rows read for the next transaction, and the actions of this step.
+	// byClock is set if shares are closed by marks in the table, see WithMarksInTable. The process
+	// had ended by endedBy, which is the table's clock in the first answer if it was not given.
+	byClock bool
+	endedBy RowClock
+
+	// The rows read for the next transaction, and the actions of this step. readAt is the
+	// table's clock in the answer with the share row.
 	share   waxwingwall.Row
 	content ShareRow
+	readAt  RowClock
 	actions []effect.Action
 
 	// Returned is the sum that this Closer knows to have returned, and Shares are
@@ -140,8 +157,10 @@
 	Returned waxwingwall.Tokens
 	Shares   []ClosedShare
 
-	// pendingShares are the entries of the transaction in flight.
+	// pendingShares are the entries of the transaction in flight, holders is the largest number
+	// of holders of their budgets.
 	pendingShares []ClosedShare
+	holders       int
 }
 
 // ClosedShare is the share of one budget that a Closer has closed.
@@ -152,10 +171,23 @@
 	// Returned is what went back to the pool, Retained what counts as spent.
 	Returned, Retained waxwingwall.Tokens
 
-	// Marked is set if keepers had marks of the share. Lost is the part of Retained that
-	// the incarnation had not used when it last sent a mark; set only if Marked is.
-	Marked bool
-	Lost   waxwingwall.Tokens
+	// Marked is set if keepers had marks of the share or the marks in the table are proven, InTable
+	// in the second case. Lost is the part of Retained that the incarnation had not used when it
+	// last sent a mark; set only if Marked is.
+	Marked  bool
+	InTable bool
+	Lost    waxwingwall.Tokens
+}
+
+// Proof returns in one word which marks bound Retained, if any.
+func (s ClosedShare) Proof() string {
+	switch {
+	case s.InTable:
+		return "table"
+	case s.Marked:
+		return "keepers"
+	}
+	return "none"
 }
 
 // Unmarked returns what counts as spent for want of marks, whether it was or not.
@@ -278,10 +310,16 @@
 
 // needsSeal reports whether the marks of a batch are not yet known, and may be.
 func (c *Closer) needsSeal(batch []ShareEntry) bool {
-	return c.ended && !c.unanswered && slices.ContainsFunc(batch, func(e ShareEntry) bool { return e.Kept }) &&
+	return c.ended && !c.unanswered && !c.proven() && slices.ContainsFunc(batch, func(e ShareEntry) bool { return e.Kept }) &&
 		len(c.keeperAnswers()) < c.content.Answers
 }
 
+// proven reports whether the process stayed within the marks of the row last read. An answer of
+// another era may have a row that an older one has replaced.
+func (c *Closer) proven() bool {
+	return c.byClock && c.readAt.Known() && c.readAt.Era == c.content.Clock.Era && c.content.Clock.proves(c.endedBy)
+}
+
 // keeperAnswers returns the answers of the keepers that the row names.
 func (c *Closer) keeperAnswers() []MarksSealed {
 	var answers []MarksSealed
@@ -358,8 +396,12 @@
 	c.step = readingShare
 	wait := min(unit<<min(c.failures, 8), defaultMaxBackoff)
 	c.failures++
-	jitter := time.Duration((c.seed*2654435761 + uint64(c.callCount)*40503) % uint64(wait))
-	c.retryAt = now.Add(wait/2 + jitter/2)
+	c.retryAt = now.Add(wait/2 + c.jitter(wait)/2)
+}
+
+// jitter returns a duration within a window.
+func (c *Closer) jitter(window time.Duration) time.Duration {
+	return time.Duration((c.seed*2654435761 + uint64(c.callCount)*40503) % uint64(window))
 }
 
 // rows handles the rows read.
@@ -368,12 +410,16 @@
 		c.backOff(now, minBackoff)
 		return
 	}
+	if !c.endedBy.Known() {
+		c.endedBy = ClockOf(ev.Clock)
+	}
 	if !c.listed {
 		c.applyList(ev.Rows)
 		c.nextCall(now)
 		return
 	}
 	if c.step == readingShare {
+		c.readAt = ClockOf(ev.Clock)
 		c.readShare(now, ev.Rows)
 		return
 	}
@@ -483,6 +529,7 @@
 		Value:  Encode(next),
 	}}
 	c.pendingShares = nil
+	c.holders = 0
 	for i, e := range batch {
 		refund, lost, marked := c.refund(e)
 		row, err := Decode[BudgetRow](budgets[i])
@@ -493,6 +540,7 @@
 			return
 		}
 		row.Returned += refund
+		c.holders = max(c.holders, len(row.Holders))
 		row.Holders = withoutHolder(row.Holders, c.Dead)
 		writes = append(writes, waxwingwall.Write{
 			Key:    BudgetKey(e.Budget),
@@ -504,6 +552,7 @@
 			Returned: refund,
 			Retained: e.Granted - refund,
 			Marked:   marked,
+			InTable:  e.Marked && c.proven(),
 			Lost:     lost,
 		})
 	}
@@ -527,6 +576,11 @@
 		retained = min(retained, mark.Tokens)
 		lost = max(retained-mark.Used, 0)
 	}
+	if e.Marked && c.proven() {
+		retained = min(retained, e.Mark)
+		lost = max(retained-e.Used, 0)
+		marked = true
+	}
 	return e.Granted - retained, lost, marked
 }
 
@@ -583,6 +637,12 @@
 		c.nextCall(now)
 	case effect.Conflict:
 		c.backOff(now, conflictBackoff)
+		if c.holders > 0 {
+			// Each of them may be closed now, as when all nodes have died, and leaves the
+			// holders then.
+			window := min(max(conflictBackoff*time.Duration(c.holders)/2, conflictBackoff), defaultMaxBackoff)
+			c.retryAt = now.Add(c.jitter(window))
+		}
 	case effect.Lost:
 		c.backOff(now, minBackoff)
 	}
--- a/core/escrow/deaths_test.go
+++ b/core/escrow/deaths_test.go
@@ -11,18 +11,21 @@
 // neither used nor recoverable is at most 1 in 100 of the payment for each death, and 3 in
 // 100 after half of the nodes died twice and all of them in the end.
 func TestLossWithDeaths(t *testing.T) {
-	checkLoss(t, 90, 75, 20)
+	for _, clock := range []bool{false, true} {
+		checkLoss(t, clock, 90, 75, 20)
+	}
 }
 
 // TestLossOfAllInMidday is like TestLossWithDeaths if all nodes die earlier, as in the script
-// of review/2.
+// of review/2. Only a table that tells its clock, as the platform's does, shows what they had let
+// go: without it nobody that survives knows.
 func TestLossOfAllInMidday(t *testing.T) {
-	checkLoss(t, 95, 85, 43)
+	checkLoss(t, true, 95, 85, 43)
 }
 
 // checkLoss checks what is lost if half of the nodes die with so many percent of the payment
-// left, half of them again, and all of them.
-func checkLoss(t *testing.T, first, second, all waxwingwall.Tokens) {
+// left, half of them again, and all of them, with a table that tells its clock or not.
+func checkLoss(t *testing.T, clock bool, first, second, all waxwingwall.Tokens) {
 	t.Helper()
 	const (
 		paid           = 10_000_000
@@ -40,6 +43,7 @@
 	} {
 		for seed := range fleet.seeds {
 			w := newEvenWorld(seed, fleet.nodes, paid)
+			w.clock = clock
 			w.run(2 * time.Second)
 			var before waxwingwall.Tokens
 			for _, percent := range []waxwingwall.Tokens{first, second, all} {
--- a/core/escrow/dump.go
+++ b/core/escrow/dump.go
@@ -28,8 +28,9 @@
 	Asks   int                `json:"asks"`
 	Passed waxwingwall.Tokens `json:"passed"`
 
-	// Marks counts the marks sent to keepers.
-	Marks int `json:"marks"`
+	// Marks counts the marks sent to keepers, Clocked the writes with marks in the table.
+	Marks   int `json:"marks"`
+	Clocked int `json:"clocked"`
 
 	// Unreadable counts rows that could not be decoded.
 	Unreadable int `json:"unreadable"`
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -63,6 +63,11 @@
 	// flight and by the writes with an unknown result.
 	inFlight, lostWrites bound
 
+	// stored are the marks of the rows that may be in force, storedLimit bounds net by them, as
+	// far as they still hold, and newestMark is that of the row last written.
+	stored                  []storedMark
+	storedLimit, newestMark waxwingwall.Tokens
+
 	// peers are the peers with which tokens were exchanged, in order.
 	peers []peer
 
@@ -261,7 +266,7 @@
 
 // limit returns the upper bound of net.
 func (e *entry) limit() waxwingwall.Tokens {
-	return min(e.rowLimit(), e.marks.limit)
+	return min(e.rowLimit(), e.marks.limit, e.storedLimit)
 }
 
 // rowLimit returns the upper bound of net by the share row alone.
@@ -283,7 +288,16 @@
 
 // loose returns what can be committed once the keepers have acknowledged it.
 func (e *entry) loose() waxwingwall.Tokens {
-	return e.rowLimit() - e.net()
+	return min(e.rowLimit(), e.storedLimit) - e.net()
+}
+
+// needed returns what is committed and asked for.
+func (e *entry) needed() waxwingwall.Tokens {
+	needed := e.net() + e.pending()
+	if e.wait.open {
+		needed += e.wait.need
+	}
+	return needed
 }
 
 // spare returns what can be committed once the allowance is raised to the
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -57,6 +57,9 @@
 //
 // for a mark that enough keepers have, and closing returns granted - mark.
 //
+// If the answers of the table tell its clock, marks in the share rows themselves take the place
+// of those at peers (clock.go). They are proven also if all peers are dead.
+//
 // # Closing
 //
 // Closer closes the share rows of a dead incarnation. Once the witness of that
@@ -171,6 +174,10 @@
 // unreachable and the peers that were asked have too few tokens.
 const ReasonTableUnreachable = "table_away_peers_asked"
 
+// ReasonMarked is the reason of a verdict reached while marks in the table hold back what could
+// pay; they do so until RetryAfter at most.
+const ReasonMarked = "marked"
+
 // Verdict is the result of Reserve.
 type Verdict struct {
 	// Kind is the kind of the verdict.
@@ -243,6 +250,9 @@
 
 	peers []waxwingwall.Incarnation
 
+	// clock is the table's clock.
+	clock tableClock
+
 	// witnessList is the result of witnesses; nil if it is out of date.
 	witnessList []waxwingwall.Incarnation
 
@@ -362,6 +372,7 @@
 		return b.outOfReach("closing")
 	}
 	e := b.entry(budget)
+	b.limitStored(e)
 	if worst <= e.free() {
 		e.reserved += worst
 		e.lastActive = now
@@ -379,7 +390,12 @@
 		}
 	case OutOfReach:
 		b.counts.OutOfReach++
-		return b.outOfReach(e.cached.reason)
+		verdict := b.outOfReach(e.cached.reason)
+		if left, held := b.heldBack(e, worst); held {
+			verdict.Reason = ReasonMarked
+			verdict.RetryAfter = left
+		}
+		return verdict
 	}
 	e.addWaiter(now, worst, b.pacing.waitTimeout)
 	b.counts.Waiting++
@@ -414,8 +430,10 @@
 	case effect.Tick:
 		b.tick()
 	case effect.Transacted:
+		b.clock.observe(now, ClockOf(ev.Clock))
 		b.transacted(ev)
 	case effect.Rows:
+		b.clock.observe(now, ClockOf(ev.Clock))
 		b.rows(ev)
 	case effect.Received:
 		b.received(ev)
@@ -499,6 +517,7 @@
 		marks: marks{
 			limit: unmarked,
 		},
+		storedLimit: unmarked,
 	}
 	b.entries[budget] = e
 	b.shards[e.shard].add(e)
--- a/core/escrow/marks.go
+++ b/core/escrow/marks.go
@@ -177,6 +177,11 @@
 	if b.tableDown {
 		most *= outageLeads
 	}
+	return b.leadWithin(e, most)
+}
+
+// leadWithin returns the lead of the marks of a budget, of most tokens.
+func (b *Book) leadWithin(e *entry, most waxwingwall.Tokens) waxwingwall.Tokens {
 	e.demand.decay(b.now)
 	rate := waxwingwall.Tokens(e.demand.spendRate(b.now) * markLeadTime.Seconds())
 	return min(max(rate, markLeadRequests*e.demand.worst, most/minLeadDivisor), max(most, 0))
@@ -184,7 +189,7 @@
 
 // sendMarks raises and lowers the marks of a shard and sends them to the keepers.
 func (b *Book) sendMarks(s *shard) {
-	if !b.pacing.evenShares || b.fenced || s.closed {
+	if !b.pacing.evenShares || b.fenced || s.closed || b.clocked() && !s.kept() {
 		return
 	}
 	var due []*entry
@@ -211,6 +216,11 @@
 	}
 }
 
+// kept reports whether marks at keepers bound an entry by a row that may be in force.
+func (s *shard) kept() bool {
+	return slices.ContainsFunc(s.entries, func(e *entry) bool { return e.row.Kept || e.inFlight.kept || e.lostWrites.kept })
+}
+
 // markTargets returns the peers that get the marks of a shard: the candidates, and the
 // keepers of all rows that may be in force.
 func (b *Book) markTargets(s *shard) []waxwingwall.Incarnation {
@@ -274,10 +284,7 @@
 	if e.inFlight.set {
 		top = max(top, e.inFlight.granted)
 	}
-	needed := e.net() + e.pending()
-	if e.wait.open {
-		needed += e.wait.need
-	}
+	needed := e.needed()
 	inputs := markInputs{
 		net:    e.net(),
 		needed: needed,
@@ -469,7 +476,7 @@
 // keep reports whether marks at a list of keepers can bound an entry after a write, and
 // whether they are of use: a share of less than the lead is not.
 func (b *Book) keep(e *entry, next ShareEntry, list []waxwingwall.Incarnation) bool {
-	if len(list) == 0 {
+	if len(list) == 0 || b.clocked() {
 		return false
 	}
 	needed := e.net()
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -75,26 +75,62 @@
 	evenShares:      true,
 }
 
+// holding is how much of a budget all shares hold together.
+type holding struct {
+	// bufferTime is how long the shares of all nodes should last without the table at
+	// evenBurstFactor times the current spend rate.
+	bufferTime time.Duration
+
+	// maxPercent and minPercent bound the part of the remaining budget.
+	maxPercent, minPercent waxwingwall.Tokens
+
+	// wideAbove is the part of a budget that must remain for these bounds to apply in full.
+	// Below it they shrink with the power evenNarrowing of what remains.
+	wideAbove float64
+
+	// cutoffPercent is the part of a budget below which nothing is held in advance, since
+	// tokens stranded at that point can't be replaced.
+	cutoffPercent waxwingwall.Tokens
+}
+
 const (
-	// evenBufferTime is how long the shares of all nodes should last without
-	// the table at evenBurstFactor times the current spend rate.
-	evenBufferTime  = 10 * time.Second
-	evenBurstFactor = 1.5
+	evenMaxPercent    = 40
+	evenMinPercent    = 20
+	evenCutoffPercent = 8
+)
 
-	// evenMaxPercent and evenMinPercent bound the part of the remaining budget
-	// that all shares hold together: what is held by nodes that die is lost.
-	evenMaxPercent = 40
-	evenMinPercent = 20
+// narrow is held if nodes that die lose what they hold, wide while marks in the table bound what
+// they lose.
+var (
+	narrow = holding{
+		bufferTime:    10 * time.Second,
+		maxPercent:    evenMaxPercent,
+		minPercent:    evenMinPercent,
+		wideAbove:     0.4,
+		cutoffPercent: evenCutoffPercent,
+	}
+	wide = holding{
+		bufferTime:    25 * time.Second,
+		maxPercent:    90,
+		minPercent:    60,
+		wideAbove:     0.1,
+		cutoffPercent: 2,
+	}
+)
 
-	// evenWideAbove is the part of a budget that must remain for these bounds to
-	// apply in full. Below it they shrink with the power evenNarrowing of what
-	// remains.
-	evenWideAbove = 0.4
-	evenNarrowing = 4
+// holding returns how much of a budget is held.
+func (b *Book) holding(e *entry) *holding {
+	if b.clocked() && len(e.stored) > 0 {
+		return &wide
+	}
+	return &narrow
+}
 
-	// evenCutoffPercent is the part of a budget below which nothing is held in
-	// advance, since tokens stranded at that point can't be replaced.
-	evenCutoffPercent = 8
+const (
+	// evenBurstFactor is the multiple of the current spend rate for which shares are held, and
+	// evenNarrowing the power with which they shrink.
+	evenBurstFactor = 1.5
+	evenNarrowing   = 4
 
 	// evenSurplusPercent is the percentage of its target that a share may hold
 	// before the rest is returned to the pool.
@@ -144,23 +180,25 @@
 	nodes := waxwingwall.Tokens(b.holderCount(e))
 	total := e.pool.row.Total
 	remaining := b.remaining(e, nodes)
-	if total <= 0 || remaining < total*evenCutoffPercent/100 {
+	h := b.holding(e)
+	if total <= 0 || remaining < total*h.cutoffPercent/100 {
 		return 0
 	}
-	width := math.Pow(min(float64(remaining)/float64(total)/evenWideAbove, 1), evenNarrowing)
+	width := math.Pow(min(float64(remaining)/float64(total)/h.wideAbove, 1), evenNarrowing)
 	share := width * float64(remaining) / float64(nodes)
 	e.demand.decay(b.now)
-	buffer := e.demand.spendRate(b.now) * evenBufferTime.Seconds() * evenBurstFactor
-	return waxwingwall.Tokens(min(max(buffer, share*evenMinPercent/100), share*evenMaxPercent/100))
+	buffer := e.demand.spendRate(b.now) * h.bufferTime.Seconds() * evenBurstFactor
+	return waxwingwall.Tokens(min(max(buffer, share*float64(h.minPercent)/100), share*float64(h.maxPercent)/100))
 }
 
 // remaining estimates what is left of a budget: the pool and what the nodes hold.
-// It assumes that all hold as much as this one, within evenMaxPercent, so that a
+// It assumes that all hold as much as this one, within maxPercent, so that a
 // node with an unusually large share does not overestimate it.
 func (b *Book) remaining(e *entry, nodes waxwingwall.Tokens) waxwingwall.Tokens {
 	pool := max(e.pool.row.Pool(), 0)
 	spare := max(e.spare(), 0)
-	return pool + max(spare, min(nodes*spare, pool*evenMaxPercent/(100-evenMaxPercent)))
+	most := b.holding(e).maxPercent
+	return pool + max(spare, min(nodes*spare, pool*most/(100-most)))
 }
 
 // needsRefresh reports whether the pool must be read again to check the size of
--- a/core/escrow/restorer.go
+++ b/core/escrow/restorer.go
@@ -268,6 +268,7 @@
 	e.Granted += tokens
 	e.Allowance = e.Granted
 	e.Kept = false
+	e.Marked = false
 }
 
 // transacted handles the result of a write. The row is read again and shows what is left.
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -56,6 +56,13 @@
 	// Allowance. Builds without marks ignore it.
 	Kept bool `json:"kept,omitempty"`
 
+	// Marked is set if Mark bounds what was committed less what was received while the marks of
+	// the row hold, see ShareRow.Clock. Used is what was used and sent, less what was received, as
+	// the row was sent. Builds without these fields ignore them.
+	Marked bool               `json:"marked,omitempty"`
+	Mark   waxwingwall.Tokens `json:"mark,omitempty"`
+	Used   waxwingwall.Tokens `json:"used,omitempty"`
+
 	// Sendable bounds the sum of all tokens ever sent to peers.
 	Sendable waxwingwall.Tokens `json:"sendable,omitempty"`
 
@@ -110,6 +117,10 @@
 	Keepers []waxwingwall.Incarnation `json:"keepers,omitempty"`
 	Answers int                       `json:"answers,omitempty"`
 
+	// Clock is a time by the table's clock before which the row was not sent; zero if it has no
+	// marks.
+	Clock RowClock `json:"clock,omitzero"`
+
 	// Entries are in the order of their budgets. A budget without an entry has
 	// an allowance equal to its grant, so there is nothing to return for it.
 	Entries []ShareEntry `json:"entries,omitempty"`
@@ -224,10 +235,13 @@
 // valid reports whether a router can have written the row.
 func (r *ShareRow) valid() bool {
 	for _, e := range r.Entries {
-		if !e.valid() || e.Kept && len(r.Keepers) == 0 {
+		if !e.valid() || e.Kept && len(r.Keepers) == 0 || e.Marked && !r.Clock.Known() {
 			return false
 		}
 	}
+	if !r.Clock.Valid() {
+		return false
+	}
 	if r.Answers < 0 || r.Answers > len(r.Keepers) || r.Answers == 0 && len(r.Keepers) > 0 {
 		return false
 	}
@@ -245,6 +259,7 @@
 		}
 	}
 	return e.Granted >= -maxTokens && e.Granted <= maxTokens && e.Allowance >= -maxTokens && e.Allowance <= e.Granted &&
+		e.Mark >= -maxTokens && e.Mark <= maxTokens && e.Used >= -maxTokens && e.Used <= maxTokens && (!e.Marked || e.Used <= e.Mark) &&
 		isCount(e.Sendable) && ascending(e.Receipts, func(r Receipt) waxwingwall.Incarnation { return r.Node }, compare)
 }
 
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -53,10 +53,12 @@
 	changes     []change
 
 	// mustRead is set if the row must be read before the next write. No call is
-	// made before retryAt; failures counts the consecutive failed calls.
-	mustRead bool
-	retryAt  time.Time
-	failures int
+	// made before retryAt; failures counts the consecutive failed calls, and contended is set
+	// if the last of them was a conflict.
+	mustRead  bool
+	retryAt   time.Time
+	failures  int
+	contended bool
 
 	// noticed is the seq of the last write that peers were notified of.
 	noticed uint64
@@ -82,6 +84,11 @@
 	// once it is. While noReceive is set no tokens are accepted: the tombstone
 	// may be in force and would not record them.
 	closing, closed, noReceive bool
+
+	// clocked is set if the last write has marks and a clock, and clockedAt is when the last
+	// such write with an answer was sent.
+	clocked   bool
+	clockedAt time.Time
 }
 
 // change is the part of a write that concerns one budget.
@@ -121,6 +128,7 @@
 
 // advanceShard advances the waits and writes of a shard after a change.
 func (b *Book) advanceShard(i int) {
+	b.limitStoredMarks(&b.shards[i])
 	b.sendMarks(&b.shards[i])
 	for _, e := range b.shards[i].entries {
 		b.sendPending(e)
@@ -133,19 +141,28 @@
 // write begins the next read or write of a shard, if one is due.
 func (b *Book) write(i int) {
 	s := &b.shards[i]
-	if s.pendingCall != 0 || s.closed || b.fenced || b.now.Before(s.retryAt) {
+	if s.pendingCall != 0 || s.closed || b.fenced {
+		return
+	}
+	// Other nodes may change the budgets' rows all the time, so marks don't wait for them.
+	overdue := s.failures > 0 && !s.restoring && b.now.Sub(s.clockedAt) >= clockInterval && b.marksDue(s)
+	if b.now.Before(s.retryAt) && !overdue {
 		return
 	}
 	if b.read(s) {
 		return
 	}
+	if overdue {
+		b.transact(s, nil, false)
+		return
+	}
 	if s.restoring {
 		b.writeRestored(i)
 		return
 	}
 	changes := b.plan(s)
 	switch {
-	case len(changes) > 0 || b.keepersDue(s):
+	case len(changes) > 0 || b.keepersDue(s) || b.marksDue(s):
 		b.transact(s, changes, false)
 	case b.draining && s.idle():
 		b.closeShard(s)
@@ -270,6 +287,7 @@
 			row.Entries = append(row.Entries, next)
 		}
 	}
+	b.markRow(s, &row)
 	writes[0] = waxwingwall.Write{
 		Key:    s.key,
 		Expect: s.version,
@@ -352,8 +370,13 @@
 func (b *Book) done(s *shard, versions []int64) {
 	b.tableDown = false
 	s.pendingCall = 0
-	s.failures = 0
+	if len(s.changes) > 0 || !s.contended {
+		s.failures = 0
+	}
 	s.version = versions[0]
+	if s.clocked {
+		s.clockedAt = s.calledAt
+	}
 	s.closed = s.closing
 	s.ackedSeq = s.seq
 	s.restoring = false
@@ -409,12 +432,14 @@
 	}
 	s.nextKeepers = nil
 	s.lostKeepers = nil
+	b.keepStored(s, func(seq uint64) bool { return seq == s.ackedSeq })
 	b.limitMarks(s)
 }
 
 // conflict handles a write that was not applied and never will be.
 func (b *Book) conflict(s *shard) {
 	b.tableDown = false
+	s.contended = true
 	b.counts.Conflicts++
 	s.pendingCall = 0
 	s.mustRead = true
@@ -435,6 +460,7 @@
 	}
 	s.changes = nil
 	s.nextKeepers = nil
+	b.keepStored(s, func(seq uint64) bool { return seq != s.seq })
 	b.limitMarks(s)
 	s.failures++
 }
@@ -447,6 +473,7 @@
 // lost handles a call whose result is unknown.
 func (b *Book) lost(s *shard) {
 	b.tableDown = true
+	s.contended = false
 	b.counts.Lost++
 	s.pendingCall = 0
 	s.mustRead = true
--- a/core/escrow/world_test.go
+++ b/core/escrow/world_test.go
@@ -17,6 +17,9 @@
 	// messages counts the messages between nodes.
 	messages int
 
+	// writes counts the transactions that the table has applied.
+	writes int
+
 	now      time.Time
 	random   *rand.Rand
 	rows     map[string]waxwingwall.Row
@@ -36,6 +39,9 @@
 	// noMarks makes the nodes builds without marks for each other.
 	noMarks bool
 
+	// clock is set if the answers of the table tell its clock.
+	clock bool
+
 	// tableHangs leaves calls to the table without an answer.
 	tableHangs bool
 	cut        map[[2]int]bool
@@ -231,13 +237,14 @@
 	down := w.tableDown
 	w.schedule(func() {
 		found := rows()
+		clock := w.clockNow()
 		lost := down || w.tableDown || w.chance(w.loseAnswer)
 		w.schedule(func() {
 			if lost {
 				answer(effect.Rows{ID: id, Result: effect.Lost})
 				return
 			}
-			answer(effect.Rows{ID: id, Rows: found})
+			answer(effect.Rows{ID: id, Rows: found, Clock: clock})
 		})
 	})
 }
@@ -276,8 +283,10 @@
 		}
 	}
 	done := effect.Transacted{
-		ID: a.ID,
+		ID:    a.ID,
+		Clock: w.clockNow(),
 	}
+	w.writes++
 	for _, wr := range a.Writes {
 		row := waxwingwall.Row{
 			Key:     wr.Key,
@@ -290,6 +299,17 @@
 	return done
 }
 
+// clockNow returns the table's clock, if its answers tell it.
+func (w *world) clockNow() waxwingwall.StoreClock {
+	if !w.clock {
+		return waxwingwall.StoreClock{}
+	}
+	return waxwingwall.StoreClock{
+		Era: w.era,
+		Now: w.now.Sub(time.Unix(1_799_999_000, 0)),
+	}
+}
+
 // restore returns the table to a copy of its rows, whose versions are given out again.
 func (w *world) restore(rows map[string]waxwingwall.Row) {
 	w.era++
@@ -582,6 +602,9 @@
 	if n.dead || w.sealLive {
 		opts = append(opts, WithEnded())
 	}
+	if n.dead {
+		opts = append(opts, WithMarksInTable(RowClock{}))
+	}
 	c := NewCloser(n.book.self, spent, opts...)
 	w.machines = append(w.machines, &testMachine{stepper: c})
 	return c
