--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -181,6 +181,12 @@
 	// limiterStale is set if the routers that limits and guard know are out of date.
 	limiterStale bool
 
+	// outages are those of the store, as the endpoints' table and the shares show them.
+	outages outages
+
+	// births tell when processes have ended.
+	births births
+
 	// durations are the times of requests by the name of their route.
 	durations map[string]*duration
 
@@ -283,6 +289,7 @@
 // Step processes an event and returns the resulting actions.
 func (e *Edge) Step(now time.Time, ev effect.Event) []effect.Action {
 	e.now = now
+	e.outages.observe(now, e.endpoints.storeUnavailable || e.book.TableAway())
 	e.endPauses()
 	switch ev := ev.(type) {
 	case Arrived:
@@ -315,8 +322,12 @@
 		e.handleMessage(ev)
 		e.stepComponents(ev)
 	case effect.Transacted:
+		e.births.observe(ev.Clock)
 		e.handleTransacted(ev)
 		e.stepComponents(ev)
+	case effect.Rows:
+		e.births.observe(ev.Clock)
+		e.stepComponents(ev)
 	case Dialed:
 		e.handleDialed(ev)
 	case TunnelProbed:
