--- a/relay/evacuationend_test.go
+++ b/relay/evacuationend_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"waxwingwall/core/edge"
 	"waxwingwall/platform/standin"
 )
 
@@ -57,3 +58,37 @@
 		})
 	}
 }
+
+// TestWithheldAtSending: the endpoint of a request that waits for its connection is evacuated or
+// becomes cold. It is not sent, unless it has a permit, which is for a cold endpoint only.
+func TestWithheldAtSending(t *testing.T) {
+	cold := edge.Instance{
+		Endpoint: "cold",
+		Born:     1,
+	}
+	evacuated := edge.Instance{
+		Endpoint: "evacuated",
+		Born:     1,
+	}
+	until := map[edge.Instance]time.Time{}
+	var r Relay
+	for _, i := range []edge.Instance{cold, evacuated} {
+		until[i] = time.Now().Add(time.Hour)
+	}
+	r.sharedState.Store(&sharedState{
+		cold:     map[edge.Instance]time.Time{cold: until[cold]},
+		withheld: map[edge.Instance]time.Time{evacuated: until[evacuated]},
+	})
+	for i, want := range map[edge.Instance][2]bool{cold: {true, false}, evacuated: {true, true}, {Endpoint: "other", Born: 1}: {}, {Endpoint: "cold", Born: 2}: {}} {
+		for j, permit := range []bool{false, true} {
+			d := edge.Dispatch{
+				Born:    i.Born,
+				Limited: permit,
+			}
+			d.Params.Endpoint = i.Endpoint
+			if got := r.withholds(d); got != want[j] {
+				t.Errorf("%+v, permit %v: withheld %v", i, permit, got)
+			}
+		}
+	}
+}
