--- a/core/edge/evacuationage_test.go
+++ b/core/edge/evacuationage_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// TestReportedAge: a report confirms the set as of the age that it names and of the time that it may
+// have taken, and nothing while the link is slow.
+func TestReportedAge(t *testing.T) {
+	h := newDomainHarness(t)
+	h.evacuate(10)
+	h.advance(4 * time.Second)
+	confirm := Report{Evacuations: EvacuationState{Revision: 10, Age: time.Second}}
+	h.reportDials(200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond)
+	h.fromPeer(confirm)
+	if age := h.edge.evacuationsAge(); age != 4*time.Second {
+		t.Errorf("over a slow link: %v", age)
+	}
+	h.reportDials(time.Millisecond)
+	h.fromPeer(confirm)
+	if age := h.edge.evacuationsAge(); age != time.Second+reportTransit {
+		t.Errorf("over a clear link: %v", age)
+	}
+}
+
 // TestEvacuatedIsNotTested: nobody sends requests, so that connections to endpoints are tested:
 // while updates from the store are late, while all is well and while a service is cut off. None is
 // to a failure domain that is to be empty, and no permit is granted there.
