--- a/core/edge/evacuationcold_test.go
+++ b/core/edge/evacuationcold_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/brittle"
 	"waxwingwall/core/effect"
 )
 
@@ -141,3 +142,29 @@
 		t.Errorf("%d of %d are sent to the domain that is back, %d wait", sent, waiting, len(h.edge.permits))
 	}
 }
+
+// TestSlotOfColdEndpoint: an endpoint becomes cold while a request waits for its slot. The request
+// is not sent there without a permit.
+func TestSlotOfColdEndpoint(t *testing.T) {
+	h := newColdHarness(t)
+	r := &request{
+		id:       99,
+		call:     short(),
+		route:    h.edge.config.route("a.example", "/advice/x"),
+		service:  "model",
+		arrived:  h.now,
+		deadline: h.now.Add(time.Second),
+		tried:    map[waxwingwall.Endpoint]bool{},
+		slot: slot{
+			id:    7,
+			asked: true,
+		},
+	}
+	h.edge.requests[r.id], h.edge.slotAsks[7] = r, r
+	h.list(0, 3*time.Second, 0)
+	h.edge.handleSlotGranted(brittle.Granted{ID: 7, Endpoint: "engine-0"})
+	d := only[Dispatch](h, h.step(effect.Tick{}))
+	if d.Params.Endpoint == "engine-0" {
+		t.Error("sent to the cold endpoint")
+	}
+}
