core/edge, core/escrow: requests wait for marks to pass, and callers are told when shares are closed

With marks in the store a router of a small account had but its lead in the first 2.5 s of an outage and refused the sixth request (relay TestOutage failed). Requests held back by marks alone now wait until these no longer hold; those whose time ends sooner are refused at once and told when it is.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -114,6 +114,9 @@
 		r.book = e.book
 		e.dispatch(r)
 	case escrow.Waiting:
+		if e.refuseHeldBack(r) {
+			return
+		}
 		r.waiting = true
 		e.stepBook()
 	case escrow.Exhausted:
@@ -132,14 +135,40 @@
 	}
 }
 
+// refuseHeldBack refuses a request whose time ends before marks in the store no longer hold back
+// what could pay for it, and reports whether it did.
+func (e *Edge) refuseHeldBack(r *request) bool {
+	if !e.book.TableAway() {
+		return false
+	}
+	left, held := e.book.HeldBack(e.now, r.budget, r.call.WorstCase())
+	if !held || r.deadline.Sub(e.now) >= left+minAttemptTime {
+		return false
+	}
+	r.waiting = false
+	verdict := escrow.Verdict{
+		Kind:       escrow.OutOfReach,
+		Reason:     escrow.ReasonMarked,
+		RetryAfter: left,
+	}
+	e.logBudgetShort(r, verdict)
+	e.refuse(r, e.outOfReachProblem(r, verdict))
+	return true
+}
+
 // outOfReachProblem returns the answer to a request whose tokens are not available now.
 func (e *Edge) outOfReachProblem(r *request, v escrow.Verdict) *waxwingwall.Problem {
 	const (
 		code    = "budget_out_of_reach"
 		message = "no share of the budget can be had now"
 	)
-	if v.Reason == escrow.ReasonTableUnreachable {
+	switch v.Reason {
+	case escrow.ReasonTableUnreachable:
 		return notRunProblem(code, message, e.outageRetryAfter(r.rank))
+	case escrow.ReasonMarked:
+		return notRunProblem(code, message, v.RetryAfter+e.rankDelay(r.rank))
+	case escrow.ReasonHoldersSilent:
+		return notRunProblem(code, message, e.closedIn(e.book.SilentHolders(r.budget))+e.rankDelay(r.rank))
 	}
 	return e.unavailableProblem(code, message, v.RetryAfter)
 }
@@ -204,9 +233,19 @@
 // be later.
 func (e *Edge) expireWaits() {
 	var expired []uint64
+	var waiting []uint64
 	for id, r := range e.requests {
-		if r.endpoint == nil && r.deadline.Sub(e.now) < minAttemptTime {
+		switch {
+		case r.endpoint == nil && r.deadline.Sub(e.now) < minAttemptTime:
 			expired = append(expired, id)
+		case r.waiting && e.book.TableAway():
+			waiting = append(waiting, id)
+		}
+	}
+	slices.Sort(waiting)
+	for _, id := range waiting {
+		if r := e.requests[id]; r != nil && r.waiting {
+			e.refuseHeldBack(r)
 		}
 	}
 	slices.Sort(expired)
--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -82,13 +82,7 @@
 	if dead.VM == e.Self.VM {
 		return true
 	}
-	delay, quiet := silentCloseDelay, e.touchTTL()
-	if e.isReplaced(dead, peers) {
-		delay, quiet = replacedCloseDelay, time.Duration(touchTTLIntervals*float64(minTouchInterval))
-		if e.births.first.Known() && !e.endedBy(dead).Known() {
-			delay = unprovenCloseDelay
-		}
-	}
+	delay, quiet := e.closeDelay(dead, peers)
 	if e.now.Sub(n.deadSince) < delay || e.now.Sub(n.changedAt) < quiet {
 		return false
 	}
@@ -99,6 +93,40 @@
 	return e.now.Sub(n.deadSince) >= delay+time.Duration(n.turn)*closeStagger
 }
 
+// closeDelay returns how long an incarnation of another VM must have been dead, and its row
+// unchanged, before its shares are closed.
+func (e *Edge) closeDelay(dead waxwingwall.Incarnation, peers []member.Peer) (delay, quiet time.Duration) {
+	switch {
+	case !e.isReplaced(dead, peers):
+		return silentCloseDelay, e.touchTTL()
+	case e.births.first.Known() && !e.endedBy(dead).Known():
+		delay = unprovenCloseDelay
+	default:
+		delay = replacedCloseDelay
+	}
+	return delay, time.Duration(touchTTLIntervals * float64(minTouchInterval))
+}
+
+// closedIn returns when the shares of some routers that are silent are expected to be closed, by
+// the first that may do so.
+func (e *Edge) closedIn(silent []waxwingwall.Incarnation) time.Duration {
+	left := defaultRetryAfter
+	peers := e.view.Peers(e.now)
+	for _, i := range silent {
+		n := e.nodes.rows[i]
+		if n == nil || i.VM == e.Self.VM {
+			continue
+		}
+		delay, quiet := e.closeDelay(i, peers)
+		since := n.deadSince
+		if since.IsZero() {
+			since = e.now
+		}
+		left = max(left, delay-e.now.Sub(since), quiet-e.now.Sub(n.changedAt))
+	}
+	return left + closeTime
+}
+
 // closeTurn returns how many live routers come before this one in the order in which they
 // may close a dead incarnation.
 func (e *Edge) closeTurn(dead waxwingwall.Incarnation, peers []member.Peer) int {
--- a/core/edge/ended.go
+++ b/core/edge/ended.go
@@ -45,6 +45,12 @@
 	return !b.written && b.clock().Known()
 }
 
+// MarkWrites returns the number of writes of share rows with marks and the store's clock by the
+// present incarnation.
+func (e *Edge) MarkWrites() int {
+	return e.book.Counts().Clocked
+}
+
 // endedBy returns a time by the table's clock by which the process of a dead incarnation of
 // another VM had ended; it is not known if no newer incarnation tells.
 func (e *Edge) endedBy(dead waxwingwall.Incarnation) escrow.RowClock {
--- a/core/edge/ended_test.go
+++ b/core/edge/ended_test.go
@@ -71,3 +71,32 @@
 		t.Error("a row with an absurd clock is used")
 	}
 }
+
+// TestClosedIn checks that callers refused for want of tokens of dead routers are told when their
+// shares are expected to be closed.
+func TestClosedIn(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rows map[int64]int64 // the clocks of the successors by boot
+		dead time.Duration
+		want time.Duration
+	}{
+		{"silent", nil, 4 * time.Second, silentCloseDelay - 4*time.Second},
+		{"replaced", map[int64]int64{6: 4_000}, 100 * time.Millisecond, 2400 * time.Millisecond},
+		{"replaced, its end is not known", map[int64]int64{6: 0}, 2 * time.Second, unprovenCloseDelay - 2*time.Second},
+		{"late", map[int64]int64{6: 4_000}, time.Minute, defaultRetryAfter},
+	} {
+		h := newHarness(t)
+		h.edge.births.observe(waxwingwall.StoreClock{Now: time.Second})
+		dead := waxwingwall.Incarnation{VM: "vm-2", Boot: 5}
+		h.edge.nodes.rows[dead] = &node{deadSince: h.now.Add(-c.dead), changedAt: h.now.Add(-c.dead)}
+		h.edge.nodes.newest = map[waxwingwall.VM]int64{dead.VM: 5}
+		for boot, ms := range c.rows {
+			h.edge.nodes.rows[waxwingwall.Incarnation{VM: dead.VM, Boot: boot}] = &node{row: nodeRow{Clock: escrow.RowClock{Ms: ms}}}
+			h.edge.nodes.newest[dead.VM] = boot
+		}
+		if got := h.edge.closedIn([]waxwingwall.Incarnation{dead}); got != c.want+closeTime {
+			t.Errorf("%s: closed in %s, want %s", c.name, got, c.want+closeTime)
+		}
+	}
+}
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -33,6 +33,9 @@
 	silentCloseDelay   = 20 * time.Second
 	closeStagger       = 700 * time.Millisecond
 
+	// closeTime is how long closing the shares of a router usually takes.
+	closeTime = 500 * time.Millisecond
+
 	// firstHeartbeatTimeout is the time after its row was first seen from which a
 	// router without any heartbeat counts as dead.
 	firstHeartbeatTimeout = 3 * time.Second
--- a/core/edge/outage.go
+++ b/core/edge/outage.go
@@ -17,7 +17,7 @@
 	minOutageLeft = 2 * time.Second
 	maxOutageLeft = 10 * time.Second
 
-	// Callers refused in an outage come back in the order of their ranks: each rank comes
+	// Callers refused for a known time come back in the order of their ranks: each rank comes
 	// outageRankStep after the one before it, spread over as much. The ranks from
 	// maxOutageRank on come together.
 	outageRankStep = 250 * time.Millisecond
@@ -78,6 +78,11 @@
 // outageRetryAfter returns when a request of a rank that is refused in an outage should be
 // repeated.
 func (e *Edge) outageRetryAfter(rank waxwingwall.Rank) time.Duration {
-	turn := min(max(rank, 0), maxOutageRank)
-	return e.outages.left(e.now) + time.Duration(turn)*outageRankStep + e.jitter(outageRankStep)
+	return e.outages.left(e.now) + e.rankDelay(rank)
+}
+
+// rankDelay returns how much later than the most urgent callers those of a rank come back, with
+// jitter.
+func (e *Edge) rankDelay(rank waxwingwall.Rank) time.Duration {
+	return time.Duration(min(max(rank, 0), maxOutageRank))*outageRankStep + e.jitter(outageRankStep)
 }
--- a/core/escrow/clock.go
+++ b/core/escrow/clock.go
@@ -199,6 +199,25 @@
 	})
 }
 
+// soonFree reports whether a wait goes on beyond its deadline, as the marks of the rows in force,
+// which no longer hold soon, are all that holds it back.
+func (b *Book) soonFree(e *entry) bool {
+	w := &e.wait
+	_, held := b.heldBack(e, w.smallest)
+	return held && b.now.Before(w.deadline.Add(freeTime))
+}
+
+// HeldBack reports whether a request can be paid for, but only once marks in the table no longer
+// hold, and when that is.
+func (b *Book) HeldBack(now time.Time, budget waxwingwall.Budget, worst waxwingwall.Tokens) (time.Duration, bool) {
+	b.now = now
+	e, ok := b.entries[budget]
+	if !ok {
+		return 0, false
+	}
+	return b.heldBack(e, worst)
+}
+
 // heldBack reports whether a request can be paid for, but not within the marks of the rows in
 // force, and when these no longer hold, with jitter.
 func (b *Book) heldBack(e *entry, worst waxwingwall.Tokens) (time.Duration, bool) {
--- a/core/escrow/deaths_test.go
+++ b/core/escrow/deaths_test.go
@@ -132,3 +132,47 @@
 		n.book.SetPeers(peers)
 	}
 }
+
+// TestUnclosedSharesAreNotExhausted guards against requests that are refused for good, as exhausted,
+// though the shares of dead nodes are yet to be closed and could pay: after all nodes have died, when
+// the pool alone is too small.
+func TestUnclosedSharesAreNotExhausted(t *testing.T) {
+	const paid = 1_000_000
+	for _, nodes := range []int{4, 24} {
+		w := newEvenWorld(1, nodes, paid)
+		w.clock = true
+		w.run(2 * time.Second)
+		w.spendAt(w.nodes[:4], paid, paid*6/10, paid/20)
+		killed := w.live()
+		for _, n := range killed {
+			n.dead = true
+		}
+		w.updatePeers()
+		w.run(time.Second)
+		var fresh []*testNode
+		for _, n := range killed {
+			self := n.book.self
+			self.Boot++
+			f := w.addIncarnation(self, WithEvenShares())
+			f.book.SetFunding(shop, n.book.FundingOf(shop))
+			fresh = append(fresh, f)
+		}
+		w.updatePeers()
+		worst := w.budget(shop).Pool() + 10_000
+		for _, n := range fresh[:2] {
+			if kind := n.serve(shop, worst); kind != OutOfReach {
+				t.Errorf("%d nodes: verdict %s with shares that are not closed", nodes, kind)
+			}
+			if v := n.book.Reserve(w.now, shop, worst); v.Reason != ReasonHoldersSilent || len(n.book.SilentHolders(shop)) == 0 {
+				t.Errorf("%d nodes: verdict %+v, silent are %v", nodes, v, n.book.SilentHolders(shop))
+			}
+		}
+		for _, n := range killed {
+			w.close(n, false)
+		}
+		w.run(3 * time.Second)
+		if kind := fresh[0].serve(shop, worst); kind != Granted {
+			t.Errorf("%d nodes: verdict %s once the shares are closed", nodes, kind)
+		}
+	}
+}
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -174,6 +174,10 @@
 // unreachable and the peers that were asked have too few tokens.
 const ReasonTableUnreachable = "table_away_peers_asked"
 
+// ReasonHoldersSilent is the reason of a verdict reached while holders are silent that are not
+// known to be closed: their tokens may come back.
+const ReasonHoldersSilent = "holders_silent"
+
 // ReasonMarked is the reason of a verdict reached while marks in the table hold back what could
 // pay; they do so until RetryAfter at most.
 const ReasonMarked = "marked"
@@ -347,6 +351,15 @@
 	return open
 }
 
+// SilentHolders returns the holders of a budget that are silent and not known to be closed.
+func (b *Book) SilentHolders(budget waxwingwall.Budget) []waxwingwall.Incarnation {
+	e, ok := b.entries[budget]
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(b.others(b.holders(e.pool.row)), func(i waxwingwall.Incarnation) bool { return !b.silent(i) })
+}
+
 // holderCount returns the number of holders of a budget that are not known to be closed,
 // with this node.
 func (b *Book) holderCount(e *entry) int {
--- a/core/escrow/wait.go
+++ b/core/escrow/wait.go
@@ -129,7 +129,7 @@
 		b.resolve(e, Granted, 0, "")
 	case b.fenced || b.draining:
 		b.resolve(e, OutOfReach, 0, "closing")
-	case !b.now.Before(w.deadline):
+	case !b.now.Before(w.deadline) && !b.soonFree(e):
 		b.resolve(e, OutOfReach, 0, w.timeoutReason())
 	case e.loose() >= w.smallest && !b.marksLate(e):
 	case b.tableDown || b.frozen || b.pacing.evenShares && b.callSlow(e):
@@ -288,7 +288,7 @@
 	}
 	b.evaluateRound(e, answered == len(w.reports))
 	if w.open && w.round == 0 && silent > 0 && !w.register {
-		b.resolve(e, OutOfReach, 0, "holders_silent")
+		b.resolve(e, OutOfReach, 0, ReasonHoldersSilent)
 	}
 }
 
