relay: metrics of marks in the store

waxwingwall_edge_share_mark_writes_total counts writes of share rows with marks; closed_share_tokens_total has a label with the marks that showed it.

--- a/relay/control.go
+++ b/relay/control.go
@@ -102,6 +102,7 @@
 
 // publish updates the state that is shared with other goroutines.
 func (r *Relay) publish(now time.Time) {
+	r.metrics.observeMarkWrites(r.edge.MarkWrites())
 	addresses, addressTTL := r.edge.RecentAddresses(now)
 	if previous := r.sharedState.Load(); previous == nil || !slices.Equal(previous.addresses, addresses) {
 		r.logEntry(now, edge.LogEntry{
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -30,6 +30,7 @@
 	budgetShort    metric.Int64Counter
 	shareTokens    metric.Int64Counter
 	closedTokens   metric.Int64Counter
+	markWrites     metric.Int64Counter
 	retriesRefused metric.Int64Counter
 	oldList        metric.Int64Counter
 	omittedLines   metric.Int64Counter
@@ -39,6 +40,9 @@
 	storeDuration  metric.Float64Histogram
 	controlWait    metric.Float64Histogram
 
+	// markWritesSeen is the number of writes that markWrites has, of the router's present book.
+	markWritesSeen int
+
 	// mu guards endpoints, the endpoints that have their own label.
 	mu        sync.Mutex
 	endpoints map[waxwingwall.Endpoint]bool
@@ -100,6 +104,9 @@
 	if m.closedTokens, err = meter.Int64Counter("waxwingwall.edge.closed_share_tokens", metric.WithDescription("Tokens of the shares of dead routers that this one closed, by fate.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.markWrites, err = meter.Int64Counter("waxwingwall.edge.share_mark_writes", metric.WithDescription("Writes of share rows with marks and the store's clock.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if m.retriesRefused, err = meter.Int64Counter("waxwingwall.edge.retries_refused", metric.WithDescription("Attempts not made as the retry budget was spent.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -122,9 +129,10 @@
 		return nil, trace.Wrap(err)
 	}
 	m.retriesRefused.Add(context.Background(), 0)
+	m.markWrites.Add(context.Background(), 0)
 	m.oldList.Add(context.Background(), 0)
 	m.omittedLines.Add(context.Background(), 0)
-	m.addClosedTokens(func(string) int64 { return 0 })
+	m.addClosedTokens(func(string) int64 { return 0 }, "none")
 	return m, nil
 }
 
@@ -180,7 +188,7 @@
 	case "share_traded":
 		m.shareTokens.Add(ctx, entry.Number("tokens"), metric.WithAttributes(attribute.String("trade", entry.Text("trade"))))
 	case "share_closed":
-		m.addClosedTokens(entry.Number)
+		m.addClosedTokens(entry.Number, entry.Text("proof"))
 	case "retry_budget_spent":
 		m.retriesRefused.Add(ctx, 1)
 	case "refused":
@@ -190,11 +198,12 @@
 	}
 }
 
-// addClosedTokens counts the tokens of the share of a dead router by fate. An amount can be
-// negative if tokens of peers are part of it; a counter takes none of these.
-func (m *metrics) addClosedTokens(number func(fate string) int64) {
+// addClosedTokens counts the tokens of the share of a dead router by fate and by the marks that
+// showed it. An amount can be negative if tokens of peers are part of it; a counter takes none of
+// these.
+func (m *metrics) addClosedTokens(number func(fate string) int64, proof string) {
 	for _, fate := range []string{"returned", "lost", "unmarked"} {
-		m.closedTokens.Add(context.Background(), max(number(fate), 0), metric.WithAttributes(attribute.String("fate", fate)))
+		m.closedTokens.Add(context.Background(), max(number(fate), 0), metric.WithAttributes(attribute.String("fate", fate), attribute.String("proof", proof)))
 	}
 }
 
@@ -264,3 +273,13 @@
 	})
 	return mux
 }
+
+// observeMarkWrites counts the writes with marks since the last call. The number begins anew with a
+// new incarnation. It is called by the control goroutine alone.
+func (m *metrics) observeMarkWrites(total int) {
+	if total < m.markWritesSeen {
+		m.markWritesSeen = 0
+	}
+	m.markWrites.Add(context.Background(), int64(total-m.markWritesSeen))
+	m.markWritesSeen = total
+}
