--- a/relay/control.go
+++ b/relay/control.go
@@ -106,6 +106,7 @@
 	r.link.observe(now, delay, measuredAt)
 	asked, _, _ := r.link.load()
 	r.edge.SetLinkAsked(asked)
+	r.metrics.observeMarkWrites(r.edge.MarkWrites())
 	addresses, addressTTL := r.edge.RecentAddresses(now)
 	previous, evacuated := r.sharedState.Load(), r.edge.Evacuating()
 	if previous != nil && previous.evacuated != evacuated {
