core/edge: a newer process proves an end only at the same address

If the new one had the name of one that is cut off, its first answer from the store counted as the end of the other's process, which lived and could go beyond its mark: what was closed by that could be spent twice.

Change: marks in the store are proven by newer incarnations of a VM only if they run at the address in the dead one's row, for others as for the VM itself. Without proof all counts as spent, as before.

--- a/core/edge/ended.go
+++ b/core/edge/ended.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"time"
 
 	"waxwingwall"
@@ -45,13 +46,23 @@
 	return !b.written && b.clock().Known()
 }
 
+// address returns the address of an incarnation for other routers by its row; not valid without one.
+func (t *nodes) address(i waxwingwall.Incarnation) netip.AddrPort {
+	if n := t.rows[i]; n != nil {
+		return n.row.Peers
+	}
+	return netip.AddrPort{}
+}
+
 // endedBy returns a time by the table's clock by which the process of a dead incarnation of
-// another VM had ended; it is not known if no newer incarnation tells.
+// another VM had ended; it is not known if no newer incarnation tells. One at another address is
+// a machine of the same name, and the dead one may be cut off and live.
 func (e *Edge) endedBy(dead waxwingwall.Incarnation) escrow.RowClock {
+	address := e.nodes.address(dead)
 	var earliest escrow.RowClock
 	boot := int64(0)
 	for i, n := range e.nodes.rows {
-		if i.VM == dead.VM && i.Boot > dead.Boot && n.row.Clock.Known() && (boot == 0 || i.Boot < boot) {
+		if i.VM == dead.VM && i.Boot > dead.Boot && n.row.Peers == address && n.row.Clock.Known() && (boot == 0 || i.Boot < boot) {
 			earliest, boot = n.row.Clock, i.Boot
 		}
 	}
@@ -61,7 +72,7 @@
 // marksInTable returns the option that closes the shares of a dead incarnation by marks in the
 // table, if it is proven when it had ended.
 func (e *Edge) marksInTable(dead waxwingwall.Incarnation) []escrow.CloserOption {
-	if dead.VM == e.Self.VM {
+	if dead.VM == e.Self.VM && e.nodes.address(dead) == e.info.Peers {
 		// This process runs, or has run itself as that incarnation.
 		return []escrow.CloserOption{escrow.WithMarksInTable(escrow.RowClock{})}
 	}
--- a/core/edge/ended_test.go
+++ b/core/edge/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -71,3 +72,26 @@
 		t.Error("a row with an absurd clock is used")
 	}
 }
+
+// TestEndedElsewhere guards against tokens that are returned though their owner may live: a machine
+// at another address that has the name of one that is cut off proves nothing about it, neither to
+// others nor to itself.
+func TestEndedElsewhere(t *testing.T) {
+	const dead, newer = 5, 6
+	for _, address := range []string{"10.0.0.9:4001", "10.0.0.10:4001"} {
+		h := newHarness(t)
+		h.edge.info.Peers = netip.MustParseAddrPort("10.0.0.9:4001")
+		for _, vm := range []waxwingwall.VM{"vm-2", h.edge.Self.VM} {
+			for boot, row := range map[int64]nodeRow{
+				dead:  {Peers: netip.MustParseAddrPort(address)},
+				newer: {Peers: h.edge.info.Peers, Clock: escrow.RowClock{Ms: 7_000}},
+			} {
+				h.edge.nodes.rows[waxwingwall.Incarnation{VM: vm, Boot: boot}] = &node{row: row}
+			}
+			proven := len(h.edge.marksInTable(waxwingwall.Incarnation{VM: vm, Boot: dead})) > 0
+			if want := address == h.edge.info.Peers.String(); proven != want {
+				t.Errorf("%s, that ran at %s, is closed by marks: %v, want %v", vm, address, proven, want)
+			}
+		}
+	}
+}
