core/queue, core/sched: the division of slots has a package of its own

The routers' other path will order requests by the same policy, and two copies of one would differ sooner or later. DivideByRank and DivideByWeight are moved as they were; core/sched calls them, and its tests pass unchanged.

--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -1,19 +1,13 @@
 package sched
 
 import (
-	"math"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
-	"waxwingwall"
+	"waxwingwall/core/queue"
 )
 
-// headroomFactor times the square root of the most urgent class's demand is the
-// number of slots kept free for its arrivals.
-const headroomFactor = 2.0
-
 // updateShares divides the endpoints' slots among the classes and flows.
 func (s *Scheduler) updateShares(now time.Time) {
 	s.sharesStale = false
@@ -25,15 +19,6 @@
 	}
 }
 
-// accountDemand is the demand and the grant of one account in a class, over all
-// routers, in slots.
-type accountDemand struct {
-	account waxwingwall.Account
-	weight  float64
-	want    float64
-	granted float64
-}
-
 func (s *Scheduler) updatePoolShares(now time.Time, p *pool) {
 	fleetCapacity := p.capacity(now)
 	routers := float64(len(s.peers) + 1)
@@ -44,19 +29,19 @@
 		}
 	}
 	capacity := fleetCapacity * live / routers
-	demands := make([][]accountDemand, len(p.classes))
+	demands := make([][]queue.Demand, len(p.classes))
 	for i, c := range p.classes {
 		demands[i] = s.accountDemands(now, c)
 	}
 	alloc := divideByRank(p.classes, demands, capacity)
 	p.granted = 0
 	for i, c := range p.classes {
-		divideByWeight(demands[i], alloc.granted[i])
+		queue.DivideByWeight(demands[i], alloc.Granted[i])
 		assignGrants(c, demands[i], now)
 		p.granted += c.granted
 	}
-	p.spare = alloc.spare / live
-	p.headroom = alloc.headroom
+	p.spare = alloc.Spare / live
+	p.headroom = alloc.Headroom
 }
 
 // capacity returns the number of usable slots.
@@ -97,10 +82,10 @@
 			continue
 		}
 		if c := p.class(d.Rank); c != nil {
-			c.peerDemand = append(c.peerDemand, accountDemand{
-				account: d.Account,
-				weight:  s.weight(d.Account),
-				want:    d.Slots,
+			c.peerDemand = append(c.peerDemand, queue.Demand{
+				Account: d.Account,
+				Weight:  s.weight(d.Account),
+				Want:    d.Slots,
 			})
 		}
 	}
@@ -108,13 +93,13 @@
 
 // mergePeerDemand merges the entries of each account and sorts them by account.
 func (c *class) mergePeerDemand() {
-	slices.SortStableFunc(c.peerDemand, func(a, b accountDemand) int {
-		return strings.Compare(string(a.account), string(b.account))
+	slices.SortStableFunc(c.peerDemand, func(a, b queue.Demand) int {
+		return strings.Compare(string(a.Account), string(b.Account))
 	})
 	merged := c.peerDemand[:0]
 	for _, d := range c.peerDemand {
-		if n := len(merged); n > 0 && merged[n-1].account == d.account {
-			merged[n-1].want += d.want
+		if n := len(merged); n > 0 && merged[n-1].Account == d.Account {
+			merged[n-1].Want += d.Want
 			continue
 		}
 		merged = append(merged, d)
@@ -124,104 +109,56 @@
 
 // accountDemands returns the accounts' demand for a class, at this router and
 // at live peers, sorted by account.
-func (s *Scheduler) accountDemands(now time.Time, c *class) []accountDemand {
-	all := make([]accountDemand, 0, len(c.peerDemand)+len(c.flows))
+func (s *Scheduler) accountDemands(now time.Time, c *class) []queue.Demand {
+	all := make([]queue.Demand, 0, len(c.peerDemand)+len(c.flows))
 	rest := c.peerDemand
 	for _, f := range c.flows {
-		for len(rest) > 0 && rest[0].account < f.account {
+		for len(rest) > 0 && rest[0].Account < f.account {
 			all = append(all, rest[0])
 			rest = rest[1:]
 		}
 		n := len(all)
-		if n == 0 || all[n-1].account != f.account {
-			d := accountDemand{
-				account: f.account,
-				weight:  s.weight(f.account),
+		if n == 0 || all[n-1].Account != f.account {
+			d := queue.Demand{
+				Account: f.account,
+				Weight:  s.weight(f.account),
 			}
-			if len(rest) > 0 && rest[0].account == f.account {
+			if len(rest) > 0 && rest[0].Account == f.account {
 				d = rest[0]
 				rest = rest[1:]
 			}
 			all = append(all, d)
 			n++
 		}
-		all[n-1].want += f.demand(now)
+		all[n-1].Want += f.demand(now)
 	}
 	return append(all, rest...)
 }
 
-// allocation is the division of capacity among the classes, in slots.
-type allocation struct {
-	granted  []float64
-	headroom float64
-	spare    float64
-}
-
-// divideByRank grants each class its demand up to its floor, and then the
-// remaining capacity in order of urgency.
-func divideByRank(classes []*class, demands [][]accountDemand, capacity float64) allocation {
-	alloc := allocation{
-		granted: make([]float64, len(classes)),
-	}
+// divideByRank divides the capacity among the classes.
+func divideByRank(classes []*class, demands [][]queue.Demand, capacity float64) queue.Allocation {
 	want := make([]float64, len(classes))
-	left := capacity
+	floors := make([]float64, len(classes))
 	for i, c := range classes {
 		for _, d := range demands[i] {
-			want[i] += d.want
-		}
-		alloc.granted[i] = min(want[i], c.spec.Floor*capacity)
-		left -= alloc.granted[i]
-	}
-	for i := range classes {
-		more := min(want[i]-alloc.granted[i], left)
-		alloc.granted[i] += more
-		left -= more
-		if i == 0 {
-			alloc.headroom = min(left, headroomFactor*math.Sqrt(want[0]))
-			left -= alloc.headroom
+			want[i] += d.Want
 		}
+		floors[i] = c.spec.Floor
 	}
-	alloc.spare = left
-	return alloc
-}
-
-// divideByWeight divides a class's slots among its accounts by weight (max-min
-// fairness): no account gets more than its demand, and unused slots go to the
-// others.
-func divideByWeight(demands []accountDemand, slots float64) {
-	order := make([]int, len(demands))
-	weights := 0.0
-	for i := range demands {
-		order[i] = i
-		weights += demands[i].weight
-	}
-	perWeight := func(i int) float64 { return demands[i].want / demands[i].weight }
-	sort.SliceStable(order, func(a, b int) bool {
-		x, y := perWeight(order[a]), perWeight(order[b])
-		if x != y {
-			return x < y
-		}
-		return demands[order[a]].account < demands[order[b]].account
-	})
-	for _, i := range order {
-		d := &demands[i]
-		d.granted = min(d.want, slots*d.weight/weights)
-		slots -= d.granted
-		weights -= d.weight
-	}
+	return queue.DivideByRank(want, floors, capacity)
 }
 
 // assignGrants sets the router's grants in the class and its flows.
-func assignGrants(c *class, demands []accountDemand, now time.Time) {
+func assignGrants(c *class, demands []queue.Demand, now time.Time) {
 	c.granted = 0
 	k := 0
 	for _, f := range c.flows {
-		for demands[k].account != f.account {
+		for demands[k].Account != f.account {
 			k++
 		}
 		f.granted = 0
-		if d := demands[k]; d.want > 0 {
-			f.granted = d.granted * f.demand(now) / d.want
+		if d := demands[k]; d.Want > 0 {
+			f.granted = d.Granted * f.demand(now) / d.Want
 		}
 		c.granted += f.granted
 	}
--- a/core/sched/table.go
+++ b/core/sched/table.go
@@ -7,6 +7,7 @@
 
 	"waxwingwall"
 	"waxwingwall/core/effect"
+	"waxwingwall/core/queue"
 )
 
 // endpoint is this router's state of one endpoint.
@@ -99,7 +100,7 @@
 	inFlight int
 
 	// peerDemand is the accounts' demand at live peers, sorted by account.
-	peerDemand []accountDemand
+	peerDemand []queue.Demand
 
 	// granted is the router's share in slots. credit is its unused part in slot
 	// seconds, as of creditAt; it is negative after overuse.
