--- a/core/queue/divide.go
+++ b/core/queue/divide.go
@@ -1,4 +1,3 @@
-// Package queue divides slots among ranks and accounts.
 package queue
 
 import (
