core/queue: less urgent ranks yield while urgent ones are refused

What the accounts were served can be read for the log; two refusals at the same moment are tested to name different times.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -37,6 +37,9 @@
 	// ranks lose weight.
 	servedTime = 5 * time.Second
 
+	// yieldTime is how long after a refusal less urgent ranks yield to a rank.
+	yieldTime = time.Second
+
 	// rateTime is the time constant of rates: of the turns, and of the requests of a rank.
 	rateTime = 2 * time.Second
 
@@ -143,7 +146,9 @@
 	// credit is the number of turns, at most one, that the rank has before more urgent ones.
 	credit float64
 
-	// bookedUntil is the latest time to which a refusal points.
+	// refusedAt is when one of its requests was last refused; bookedUntil is the latest time
+	// to which a refusal points.
+	refusedAt   time.Time
 	bookedUntil time.Time
 }
 
@@ -224,7 +229,7 @@
 		Request: r,
 		seq:     q.seq,
 	}
-	if len(q.waiting) == 0 && q.fits(n) {
+	if len(q.waiting) == 0 && q.fits(n) && !q.yields(now, n.Rank) {
 		q.serve(now, n)
 		return Verdict{}
 	}
@@ -316,6 +321,9 @@
 		ordered = append([]*entry{first}, slices.Delete(ordered, i, i+1)...)
 	}
 	for i, n := range ordered {
+		if q.yields(now, n.Rank) {
+			continue
+		}
 		if q.fits(n) {
 			for _, large := range ordered[:i] {
 				if n.Rank >= large.Rank {
@@ -414,18 +422,31 @@
 // hasFloor reports whether a rank may have a turn before more urgent ones: not if that left
 // it served more often than one of those.
 func (q *Queue) hasFloor(now time.Time, level waxwingwall.Rank) bool {
+	return q.servedLess(now, level, func(*rank) bool { return true })
+}
+
+// servedLess reports whether a rank is served no more often than the more urgent ones that count,
+// one more turn included.
+func (q *Queue) servedLess(now time.Time, level waxwingwall.Rank, counts func(*rank) bool) bool {
 	often := func(s *rank, more float64) float64 {
 		return (s.served.weight(now, servedTime) + more) / max(s.offered.weight(now, servedTime), 1)
 	}
 	after := often(q.ranks[level], 1)
 	for other, s := range q.ranks {
-		if other < level && often(s, 0) < after {
+		if other < level && often(s, 0) < after && counts(s) {
 			return false
 		}
 	}
 	return true
 }
 
+// yields reports whether a rank leaves its turn to more urgent ones, of which some were refused
+// just now: it would be served more often than these. Where a router has few turns, a rank
+// would otherwise get as many as it has requests in the moment in which one comes free.
+func (q *Queue) yields(now time.Time, level waxwingwall.Rank) bool {
+	return !q.servedLess(now, level, func(s *rank) bool { return !s.refusedAt.IsZero() && now.Sub(s.refusedAt) <= yieldTime })
+}
+
 // levels returns the ranks that wait, the most urgent first.
 func (q *Queue) levels() []waxwingwall.Rank {
 	var all []waxwingwall.Rank
@@ -451,7 +472,7 @@
 	slices.SortStableFunc(sorted, func(a, b *entry) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.seq, b.seq)) })
 	for _, n := range sorted {
 		if _, known := used[n.Account]; !known {
-			used[n.Account] = q.servedTokens(now, n.Account)
+			used[n.Account] = q.ServedTokens(now, n.Account)
 		}
 		turns = append(turns, turn{
 			n:  n,
@@ -468,8 +489,8 @@
 	return sorted
 }
 
-// servedTokens returns the tokens that an account was served in the last seconds at all routers.
-func (q *Queue) servedTokens(now time.Time, a waxwingwall.Account) float64 {
+// ServedTokens returns the tokens that an account was served in the last seconds at all routers.
+func (q *Queue) ServedTokens(now time.Time, a waxwingwall.Account) float64 {
 	own := 0.0
 	if d := q.served[a]; d != nil {
 		own = d.weight(now, servedTime)
@@ -519,6 +540,7 @@
 // that were refused before.
 func (q *Queue) book(now time.Time, level waxwingwall.Rank, turn time.Duration) time.Duration {
 	s := q.rank(level)
+	s.refusedAt = now
 	at := now.Add(min(max(turn, minRetryAfter), maxRetryAfter))
 	if next := s.bookedUntil.Add(time.Duration(float64(time.Second) / max(q.rate(now), 1))); next.After(at) {
 		at = next
@@ -556,8 +578,8 @@
 
 // AccountTokens is what an account was served.
 type AccountTokens struct {
-	Account waxwingwall.Account
-	Tokens  waxwingwall.Tokens
+	Account waxwingwall.Account `json:"account"`
+	Tokens  waxwingwall.Tokens  `json:"tokens"`
 }
 
 // Decay returns what is left of a number of tokens after a time.
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -400,8 +400,9 @@
 			t.Fatal(v)
 		}
 	}
-	if v := q.Offer(now, at(now, 1000, 3, 1)); v.Decision != Refused {
-		t.Errorf("less urgent: %v", v)
+	first, next := q.Offer(now, at(now, 1000, 3, 1)), q.Offer(now, at(now, 1002, 3, 1))
+	if first.Decision != Refused || next.Decision != Refused || next.RetryAfter <= first.RetryAfter {
+		t.Errorf("less urgent: %v, %v", first, next)
 	}
 	if v := q.Offer(now, at(now, 1001, 0, 1)); v.Decision != Wait || v.Ahead != 0 {
 		t.Errorf("more urgent: %v", v)
