core/edge: order of requests while a service has no room

Requests were sent as they came, so that in a burst the first were served, whatever their rank and account. A request whose service has no room left for this router, by the slots of its endpoints, what the fleet is reported to run and want, and what declined just now, waits in core/queue, or is refused with no_room and the time of its turn. While there is room, or no answer of the service has ended yet, nothing changes. Reports have a new field that earlier versions ignore.

--- a/core/edge/dump.go
+++ b/core/edge/dump.go
@@ -105,6 +105,9 @@
 	Brittle []BrittleState `json:"brittle"`
 	Slots   []brittle.Row  `json:"slots"`
 
+	// Queues are those of the services whose room was short in the last seconds.
+	Queues []QueueState `json:"queues"`
+
 	// Peers are the other routers.
 	Peers []member.Peer `json:"peers"`
 
@@ -127,6 +130,7 @@
 		Draining:   !e.drainStart.IsZero(),
 		Slots:      e.guard.Rows(),
 	}
+	s.Queues = e.queueStates()
 	s.Evacuations = e.evacuationState()
 	s.EvacuationsDiffer = e.evacuationsDiffer()
 	for _, d := range s.Evacuations.Domains {
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -175,6 +175,10 @@
 	// slotAsks are the requests that wait for a slot, by the ID of their ask.
 	slotAsks map[uint64]*request
 
+	// queues are those of the services; turnsDue is set if turns in them may have come.
+	queues   map[waxwingwall.Model]*serviceTurns
+	turnsDue bool
+
 	// limiterStale is set if the routers that limits and guard know are out of date.
 	limiterStale bool
 
@@ -205,6 +209,7 @@
 		retryBudgets: map[waxwingwall.Model]*retryBudget{},
 		permits:      map[uint64]*request{},
 		slotAsks:     map[uint64]*request{},
+		queues:       map[waxwingwall.Model]*serviceTurns{},
 		durations:    map[string]*duration{},
 		crashes: crashTracker{
 			table: quarantine.Table{
@@ -321,9 +326,11 @@
 	case effect.Tick:
 		e.stepComponents(ev)
 		e.tick()
+		e.turnsDue = true
 	default:
 		e.stepComponents(ev)
 	}
+	e.stepQueues()
 	out := e.out
 	e.out = nil
 	return out
@@ -348,6 +355,7 @@
 	e.reviewCold(coldByTime)
 	e.releaseWaiting()
 	e.removeMissing()
+	e.expireRooms()
 	e.expireWaits()
 	e.logOverdue()
 	e.logReadPause()
--- a/core/edge/endpoint.go
+++ b/core/edge/endpoint.go
@@ -91,6 +91,9 @@
 	// heardAt is when an answer of the endpoint last began or ended; zero if none has.
 	heardAt time.Time
 
+	// fullUntil is until when the endpoint counts as full, as it declined for want of room.
+	fullUntil time.Time
+
 	// failureRate is the decaying fraction of failed attempts; decayedAt is the
 	// time of the last decay of failureRate and slowdown.
 	failureRate float64
@@ -195,6 +198,7 @@
 	if asOf.IsZero() {
 		asOf = e.now
 	}
+	e.turnsDue = true
 	e.beforeReplicas(ev.Snapshot)
 	if asOf.After(t.asOf) {
 		t.asOf = asOf
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -109,6 +109,10 @@
 
 	// Evacuations are what the sender knows of failure domains that are to be empty.
 	Evacuations EvacuationState
+
+	// Queues are the services whose room was short in the last seconds; nil from earlier
+	// versions of this program.
+	Queues []QueueReport
 }
 
 // Sizes of messages and their parts for the queues of links, in bytes: an entry with its
@@ -120,7 +124,16 @@
 
 // Size returns the approximate size of the report in bytes.
 func (m Report) Size() int {
-	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects)) + m.Evacuations.size()
+	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects)) + m.Evacuations.size() + m.queuesSize()
+}
+
+// queuesSize returns the approximate size of the reports of queues in bytes.
+func (m Report) queuesSize() int {
+	n := 0
+	for _, q := range m.Queues {
+		n += 1 + len(q.Served)
+	}
+	return entryBytes * n
 }
 
 // PartRead is a prompt part that an endpoint has read.
@@ -202,6 +215,9 @@
 	// reports are the newest reports by peer.
 	reports map[waxwingwall.Incarnation]report
 
+	// rooms are what peers last reported of the requests at each service.
+	rooms map[waxwingwall.Incarnation]roomReport
+
 	// newestVersion is the newest version of the configuration that a peer has.
 	newestVersion int64
 
@@ -345,6 +361,7 @@
 		Reads:          e.gossip.pendingReads,
 		Suspects:       e.crashes.parts.List(e.now),
 		Evacuations:    e.evacuationState(),
+		Queues:         e.queueReports(),
 	}
 	e.gossip.pendingReads = nil
 	for _, s := range e.config.configuration.Services {
@@ -419,6 +436,7 @@
 			return
 		}
 		e.recordReport(ev.From, m)
+		e.recordRoom(ev.From, m)
 		e.learnEvacuations(ev.From, m.Evacuations)
 		for _, read := range m.Reads {
 			if row := e.endpoints.rows[read.Endpoint]; row != nil {
--- a/core/edge/news.go
+++ b/core/edge/news.go
@@ -93,5 +93,10 @@
 			return false
 		}
 	}
-	return isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && isCount(m.EndpointsAge, maxDuration) && len(m.Reads) <= maxReads && m.Evacuations.valid()
+	for i := range m.Queues {
+		if !m.Queues[i].valid() {
+			return false
+		}
+	}
+	return len(m.Queues) <= maxQueues && isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && isCount(m.EndpointsAge, maxDuration) && len(m.Reads) <= maxReads && m.Evacuations.valid()
 }
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -118,6 +118,9 @@
 	// cold is the last ask for a permit, if it was for one of a cold endpoint.
 	cold coldAsk
 
+	// turn is the place in the queue of the service.
+	turn turn
+
 	// slot is the slot of a brittle endpoint that the request waits for or has.
 	slot slot
 
@@ -167,6 +170,9 @@
 		e.refuse(r, e.unavailableProblem(CodeOldList, "this router has no current list of endpoints", max(e.link.queueDelay(e.now), staleRetryAfter)))
 		return
 	}
+	if !e.takeTurn(r) {
+		return
+	}
 	unlimited, ofVersion := e.limitFilter(r), e.versionFilter(r)
 	answering := e.slotFilter(r)
 	mayUse := func(row *endpoint) bool { return unlimited(row) && ofVersion(row) && answering(row) }
@@ -291,6 +297,7 @@
 		target.prefill += waxwingwall.Tokens(n) * r.uncachedTokens
 	}
 	e.gossip.loadChanged = true
+	e.turnsDue = e.turnsDue || n < 0
 }
 
 // handleAnswerStarted handles the first part of an answer.
@@ -335,7 +342,11 @@
 	}
 	e.returnUnusedPermit(r, ev)
 	e.endSlot(r, ev.Result == Declined && ev.Status == http.StatusServiceUnavailable)
+	runs := r.runs
 	e.recordResult(r, target, ev)
+	if r.runs > runs {
+		e.recordRun(r, ev.Result == Complete)
+	}
 	if ev.Result == Complete {
 		e.finish(r, target, ev)
 		return
@@ -387,6 +398,9 @@
 		r.declined++
 		e.recordAnswer(r)
 		target.recordRun(e.now, true)
+		if ev.Status == http.StatusServiceUnavailable {
+			target.fullUntil = e.now.Add(declineTime)
+		}
 		if ev.Status == http.StatusMisdirectedRequest {
 			e.handleMisdirected(target)
 		}
@@ -562,7 +576,7 @@
 		r.overdueLogged = true
 		e.log("request_overdue", r.call.ID,
 			field("after", e.now.Sub(r.arrived)), field("arrived_version", r.version), field("version", e.config.version),
-			field("attempt", r.attempt), field("in_flight", r.endpoint != nil), field("waits_for_budget", r.waiting), field("waits_for_permit", r.ask != 0), field("waits_for_slot", r.slot.asked))
+			field("attempt", r.attempt), field("in_flight", r.endpoint != nil), field("waits_for_budget", r.waiting), field("waits_for_permit", r.ask != 0), field("waits_for_slot", r.slot.asked), field("waits_for_turn", r.turn.waits))
 	}
 }
 
@@ -627,6 +641,7 @@
 		e.addLoad(r, -1)
 		r.endpoint = nil
 		r.runs++
+		e.recordRun(r, false)
 	}
 	r.events = max(r.events, ev.Events)
 	e.settle(r)
@@ -674,6 +689,7 @@
 func (e *Edge) removeRequest(r *request) {
 	e.cancelAsk(r)
 	e.cancelSlot(r)
+	e.endTurn(r)
 	e.releaseNext(r)
 	e.releaseSpare(r)
 	delete(e.versions.asks, r.id)
