--- a/relay/log.go
+++ b/relay/log.go
@@ -23,6 +23,7 @@
 	"request_overdue":    true,
 	"budget_short":       true,
 	"no_endpoint":        true,
+	"room_short":         true,
 	"retry_budget_spent": true,
 	"crash_counted":      true,
 
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -35,6 +35,9 @@
 	oldList        metric.Int64Counter
 	evacuated      metric.Int64Gauge
 	coldPermits    metric.Int64Counter
+	queueTurns     metric.Int64Counter
+	accountTurns   metric.Int64Counter
+	queueWait      metric.Float64Counter
 	omittedLines   metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
@@ -42,15 +45,19 @@
 	storeDuration  metric.Float64Histogram
 	controlWait    metric.Float64Histogram
 
-	// mu guards endpoints, the endpoints that have their own label.
+	// mu guards endpoints and accounts, those that have their own label.
 	mu        sync.Mutex
 	endpoints map[waxwingwall.Endpoint]bool
+	accounts  map[waxwingwall.Account]bool
 }
 
 // maxEndpoints limits the number of endpoint labels; further endpoints are counted
 // as "others". The number grows because a replaced endpoint has a new name.
 const maxEndpoints = 1000
 
+// maxAccounts limits the number of account labels; further accounts are counted as "others".
+const maxAccounts = 100
+
 // newMetrics creates the instruments in a separate registry.
 func newMetrics(queueLength func() int, endpointsAge, readPause func() time.Duration, links func() peer.LinksStats, waiting func() quota.Stats) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
@@ -61,6 +68,7 @@
 		handler:   handler,
 		close:     stop,
 		endpoints: map[waxwingwall.Endpoint]bool{},
+		accounts:  map[waxwingwall.Account]bool{},
 		meter:     meter,
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
@@ -87,6 +95,15 @@
 	if m.coldPermits, err = meter.Int64Counter("waxwingwall.edge.cold_permits", metric.WithDescription("Asks for permits of cold endpoints, by result.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.queueTurns, err = meter.Int64Counter("waxwingwall.edge.queue_turns", metric.WithDescription("Requests that had to wait for room or were refused for want of it, by result and rank.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.accountTurns, err = meter.Int64Counter("waxwingwall.edge.queue_account_turns", metric.WithDescription("The same requests, by account and result.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.queueWait, err = meter.Float64Counter("waxwingwall.edge.queue_wait", metric.WithUnit("s"), metric.WithDescription("Time that requests waited for room, by result and rank.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err = observeLinks(meter, links); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -144,6 +161,12 @@
 	for _, result := range []string{"granted", "denied"} {
 		m.coldPermits.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result)))
 	}
+	for _, result := range []string{"granted", "late", "displaced", "refused"} {
+		with := metric.WithAttributes(attribute.String("result", result), attribute.Int("rank", 0))
+		m.queueTurns.Add(context.Background(), 0, with)
+		m.queueWait.Add(context.Background(), 0, with)
+		m.accountTurns.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result), attribute.String("account", "others")))
+	}
 	m.omittedLines.Add(context.Background(), 0)
 	m.addClosedTokens(func(string) int64 { return 0 })
 	return m, nil
@@ -214,6 +237,8 @@
 		m.addClosedTokens(entry.Number)
 	case "permit_cold":
 		m.coldPermits.Add(ctx, 1, metric.WithAttributes(attribute.String("result", entry.Text("result"))))
+	case "queue_left", "room_short":
+		m.turnEnded(entry)
 	case "retry_budget_spent":
 		m.retriesRefused.Add(ctx, 1)
 	case "refused":
@@ -223,6 +248,43 @@
 	}
 }
 
+// turnEnded counts a request that waited for room, or was refused at once for want of it.
+func (m *metrics) turnEnded(entry edge.LogEntry) {
+	result := attribute.String("result", entry.Text("result"))
+	var rank waxwingwall.Rank
+	var waited time.Duration
+	var account waxwingwall.Account
+	for _, f := range entry.Fields {
+		switch v := f.Value.(type) {
+		case waxwingwall.Rank:
+			rank = v
+		case waxwingwall.Account:
+			account = v
+		case time.Duration:
+			if f.Name == "waited" {
+				waited = v
+			}
+		}
+	}
+	with := metric.WithAttributes(result, attribute.Int("rank", int(rank)))
+	m.queueTurns.Add(context.Background(), 1, with)
+	m.queueWait.Add(context.Background(), waited.Seconds(), with)
+	m.accountTurns.Add(context.Background(), 1, metric.WithAttributes(result, attribute.String("account", m.accountLabel(account))))
+}
+
+// accountLabel returns the label of an account.
+func (m *metrics) accountLabel(a waxwingwall.Account) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[a] {
+		if len(m.accounts) >= maxAccounts {
+			return "others"
+		}
+		m.accounts[a] = true
+	}
+	return string(a)
+}
+
 // addClosedTokens counts the tokens of the share of a dead router by fate. An amount can be
 // negative if tokens of peers are part of it; a counter takes none of these.
 func (m *metrics) addClosedTokens(number func(fate string) int64) {
