--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -36,6 +36,9 @@
 	oldList        metric.Int64Counter
 	evacuated      metric.Int64Gauge
 	coldPermits    metric.Int64Counter
+	queueTurns     metric.Int64Counter
+	accountTurns   metric.Int64Counter
+	queueWait      metric.Float64Counter
 	omittedLines   metric.Int64Counter
 	intakeRefused  metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
@@ -47,15 +50,19 @@
 	// markWritesSeen is the number of writes that markWrites has, of the router's present book.
 	markWritesSeen int
 
-	// mu guards endpoints, the endpoints that have their own label.
+	// mu guards endpoints and accounts, those that have their own label.
 	mu        sync.Mutex
 	endpoints map[waxwingwall.Endpoint]bool
+	accounts  map[waxwingwall.Account]bool
 }
 
 // maxEndpoints limits the number of endpoint labels; further endpoints are counted
 // as "others". The number grows because a replaced endpoint has a new name.
 const maxEndpoints = 1000
 
+// maxAccounts limits the number of account labels; further accounts are counted as "others".
+const maxAccounts = 100
+
 // newMetrics creates the instruments in a separate registry.
 func newMetrics(queueLength func() int, endpointsAge func() time.Duration, links func() peer.LinksStats, waiting func() quota.Stats) (*metrics, error) {
 	meter, handler, stop, err := meter.New("waxwingwall")
@@ -67,6 +74,7 @@
 		close:     stop,
 		meter:     meter,
 		endpoints: map[waxwingwall.Endpoint]bool{},
+		accounts:  map[waxwingwall.Account]bool{},
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
 		o.Observe(int64(queueLength()))
@@ -85,6 +93,15 @@
 	if m.coldPermits, err = meter.Int64Counter("waxwingwall.edge.cold_permits", metric.WithDescription("Asks for permits of cold endpoints, by result.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.queueTurns, err = meter.Int64Counter("waxwingwall.edge.queue_turns", metric.WithDescription("Requests that had to wait for room or were refused for want of it, by result and rank.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.accountTurns, err = meter.Int64Counter("waxwingwall.edge.queue_account_turns", metric.WithDescription("The same requests, by account and result.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if m.queueWait, err = meter.Float64Counter("waxwingwall.edge.queue_wait", metric.WithUnit("s"), metric.WithDescription("Time that requests waited for room, by result and rank.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if err = observeLinks(meter, links); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -146,6 +163,12 @@
 	for _, result := range []string{"granted", "denied"} {
 		m.coldPermits.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result)))
 	}
+	for _, result := range []string{"granted", "late", "displaced", "refused"} {
+		with := metric.WithAttributes(attribute.String("result", result), attribute.Int("rank", 0))
+		m.queueTurns.Add(context.Background(), 0, with)
+		m.queueWait.Add(context.Background(), 0, with)
+		m.accountTurns.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result), attribute.String("account", "others")))
+	}
 	m.omittedLines.Add(context.Background(), 0)
 	m.addClosedTokens(func(string) int64 { return 0 }, "none")
 	return m, nil
@@ -216,6 +239,8 @@
 		m.addClosedTokens(entry.Number, entry.Text("proof"))
 	case "permit_cold":
 		m.coldPermits.Add(ctx, 1, metric.WithAttributes(attribute.String("result", entry.Text("result"))))
+	case "queue_left", "room_short":
+		m.turnEnded(entry)
 	case "retry_budget_spent":
 		m.retriesRefused.Add(ctx, 1)
 	case "refused":
@@ -225,6 +250,43 @@
 	}
 }
 
+// turnEnded counts a request that waited for room, or was refused at once for want of it.
+func (m *metrics) turnEnded(entry edge.LogEntry) {
+	result := attribute.String("result", entry.Text("result"))
+	var rank waxwingwall.Rank
+	var waited time.Duration
+	var account waxwingwall.Account
+	for _, f := range entry.Fields {
+		switch v := f.Value.(type) {
+		case waxwingwall.Rank:
+			rank = v
+		case waxwingwall.Account:
+			account = v
+		case time.Duration:
+			if f.Name == "waited" {
+				waited = v
+			}
+		}
+	}
+	with := metric.WithAttributes(result, attribute.Int("rank", int(rank)))
+	m.queueTurns.Add(context.Background(), 1, with)
+	m.queueWait.Add(context.Background(), waited.Seconds(), with)
+	m.accountTurns.Add(context.Background(), 1, metric.WithAttributes(result, attribute.String("account", m.accountLabel(account))))
+}
+
+// accountLabel returns the label of an account.
+func (m *metrics) accountLabel(a waxwingwall.Account) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accounts[a] {
+		if len(m.accounts) >= maxAccounts {
+			return "others"
+		}
+		m.accounts[a] = true
+	}
+	return string(a)
+}
+
 // addClosedTokens counts the tokens of the share of a dead router by fate and by the marks that
 // showed it. An amount can be negative if tokens of peers are part of it; a counter takes none of
 // these.
