core/escrow: tests of late writes, clocks and successors with marks in the store

Cause: no test had writes of a dead process that take effect after the first answer to its successor, clocks that stand still or differ, several closers at once, or a death just as marks cease to hold.

The tests' nodes have a steady clock of their own; without drift or stops it is the world's, as before.

--- a/core/escrow/world_test.go
+++ b/core/escrow/world_test.go
@@ -79,6 +79,17 @@
 	notices   Notices
 	keeper    Keeper
 	callDelay time.Duration
+
+	// late is how late the node's writes are applied, without an answer; zero if they are not
+	// late. Its steady clock was stopped for so long, and is faster than the table's by drift.
+	late, stopped time.Duration
+	drift         float64
+}
+
+// now returns the node's steady clock.
+func (n *testNode) now() time.Time {
+	passed := n.w.now.Sub(time.Unix(1_800_000_000, 0))
+	return n.w.now.Add(time.Duration(n.drift*float64(passed)) - n.stopped)
 }
 
 // closedBy is the node on which Closers run. It keeps no marks.
@@ -385,7 +396,7 @@
 			n.perform(a)
 		}
 	}
-	for _, a := range n.book.Step(n.w.now, ev) {
+	for _, a := range n.book.Step(n.now(), ev) {
 		n.perform(a)
 	}
 }
@@ -419,6 +430,11 @@
 		w.schedule(func() { n.event(lostAnswer(a)) })
 		return
 	}
+	if tx, ok := a.(effect.Transact); ok && n.late > 0 {
+		w.scheduleAt(w.now.Add(n.late), func() { w.transact(tx) })
+		w.schedule(func() { n.event(lostAnswer(a)) })
+		return
+	}
 	w.scheduleAt(w.now.Add(n.callDelay), func() {
 		w.call(a, func(ev effect.Event) {
 			w.scheduleAt(w.now.Add(n.callDelay), func() { n.event(ev) })
@@ -490,12 +506,12 @@
 	if n.dead || n.paused {
 		return OutOfReach
 	}
-	v := n.book.Reserve(n.w.now, budget, worst)
+	v := n.book.Reserve(n.now(), budget, worst)
 	if v.Kind != Granted {
 		return v.Kind
 	}
 	if n.sealed {
-		n.book.Settle(n.w.now, budget, worst, 0)
+		n.book.Settle(n.now(), budget, worst, 0)
 		return OutOfReach
 	}
 	n.spent[budget] += worst
@@ -511,7 +527,7 @@
 	r := n.running[i]
 	n.running = append(n.running[:i], n.running[i+1:]...)
 	n.spent[r.budget] -= r.tokens - used
-	n.book.Settle(n.w.now, r.budget, r.tokens, used)
+	n.book.Settle(n.now(), r.budget, r.tokens, used)
 }
 
 // serve repeats the request until it gets a final verdict.
