core/escrow: a process that ended in the millisecond of its row proves nothing

Cause: if the table's clock stands still, a row that is sent at once after an answer has the same time as the first answer to the successor seconds later, and its marks were taken for proven.

Change: the end must be later than the row's time. TestWrongClock: a clock that jumps forward or goes far back while a node is cut off.

--- a/core/escrow/clock.go
+++ b/core/escrow/clock.go
@@ -220,6 +220,7 @@
 	if !c.Known() || !endedBy.Known() || c.Era != endedBy.Era {
 		return false
 	}
+	// Within one millisecond no process ends and the next one starts: the clock stands still.
 	passed := time.Duration(endedBy.Ms+1-c.Ms) * time.Millisecond
-	return passed > 0 && passed <= freeTime-freeTime/clockDrift
+	return endedBy.Ms > c.Ms && passed <= freeTime-freeTime/clockDrift
 }
--- a/core/escrow/clock_test.go
+++ b/core/escrow/clock_test.go
@@ -176,6 +176,7 @@
 		{"another era", RowClock{Era: 2, Ms: 11_000}, false},
 		{"an earlier era", RowClock{Ms: 11_000}, false},
 		{"the clock went back", RowClock{Era: 1, Ms: 9_000}, false},
+		{"the clock stands still", RowClock{Era: 1, Ms: 10_000}, false},
 		{"no clock", RowClock{}, false},
 	} {
 		if got := stamp.proves(c.endedBy); got != c.want {
--- a/core/escrow/successor_test.go
+++ b/core/escrow/successor_test.go
@@ -135,3 +135,33 @@
 		t.Errorf("%d went beyond their marks, %d were proven: want some of both", beyond, proven)
 	}
 }
+
+// TestWrongClock guards against tokens that are returned though they are spent if the table's clock
+// is wrong, though it should be steady: it jumps, stands still or goes back while a node is cut off
+// that goes beyond its mark and dies then.
+func TestWrongClock(t *testing.T) {
+	const cut = 4 * time.Second
+	for name, back := range map[string]time.Duration{"jumps": -time.Minute, "right": 0, "goes far back": time.Minute} {
+		checkWrongClock(t, name, cut, back)
+	}
+}
+
+func checkWrongClock(t *testing.T, name string, cut, back time.Duration) {
+	t.Helper()
+	w := newClockedWorld(1, 2, 1_000_000)
+	w.run(2 * time.Second)
+	n := w.nodes[0]
+	n.cutOff = true
+	w.cut[[2]int{0, 1}] = true
+	w.run(cut)
+	w.clockBack = back
+	n.reserveAll(100)
+	n.dead = true
+	e := n.book.entry(shop)
+	spent, granted := e.net(), e.row.Granted
+	c := w.close(n, false)
+	w.run(time.Second)
+	if !c.Done() || c.Returned > granted-spent {
+		t.Errorf("%s: done %v, %d returned of %d with %d spent", name, c.Done(), c.Returned, granted, spent)
+	}
+}
--- a/core/escrow/world_test.go
+++ b/core/escrow/world_test.go
@@ -39,8 +39,9 @@
 	// noMarks makes the nodes builds without marks for each other.
 	noMarks bool
 
-	// clock is set if the answers of the table tell its clock.
-	clock bool
+	// clock is set if the answers of the table tell its clock, which has gone back by clockBack.
+	clock     bool
+	clockBack time.Duration
 
 	// tableHangs leaves calls to the table without an answer.
 	tableHangs bool
@@ -317,7 +318,7 @@
 	}
 	return waxwingwall.StoreClock{
 		Era: w.era,
-		Now: w.now.Sub(time.Unix(1_799_999_000, 0)),
+		Now: w.now.Sub(time.Unix(1_799_999_000, 0)) - w.clockBack,
 	}
 }
 
