--- a/core/escrow/world_test.go
+++ b/core/escrow/world_test.go
@@ -39,8 +39,9 @@
 	// noMarks makes the nodes builds without marks for each other.
 	noMarks bool
 
-	// clock is set if the answers of the table tell its clock.
-	clock bool
+	// clock is set if the answers of the table tell its clock, which has gone back by clockBack.
+	clock     bool
+	clockBack time.Duration
 
 	// tableHangs leaves calls to the table without an answer.
 	tableHangs bool
@@ -79,6 +80,17 @@
 	notices   Notices
 	keeper    Keeper
 	callDelay time.Duration
+
+	// late is how late the node's writes are applied, without an answer; zero if they are not
+	// late. Its steady clock was stopped for so long, and is faster than the table's by drift.
+	late, stopped time.Duration
+	drift         float64
+}
+
+// now returns the node's steady clock.
+func (n *testNode) now() time.Time {
+	passed := n.w.now.Sub(time.Unix(1_800_000_000, 0))
+	return n.w.now.Add(time.Duration(n.drift*float64(passed)) - n.stopped)
 }
 
 // closedBy is the node on which Closers run. It keeps no marks.
@@ -306,7 +318,7 @@
 	}
 	return waxwingwall.StoreClock{
 		Era: w.era,
-		Now: w.now.Sub(time.Unix(1_799_999_000, 0)),
+		Now: w.now.Sub(time.Unix(1_799_999_000, 0)) - w.clockBack,
 	}
 }
 
@@ -385,7 +397,7 @@
 			n.perform(a)
 		}
 	}
-	for _, a := range n.book.Step(n.w.now, ev) {
+	for _, a := range n.book.Step(n.now(), ev) {
 		n.perform(a)
 	}
 }
@@ -419,6 +431,11 @@
 		w.schedule(func() { n.event(lostAnswer(a)) })
 		return
 	}
+	if tx, ok := a.(effect.Transact); ok && n.late > 0 {
+		w.scheduleAt(w.now.Add(n.late), func() { w.transact(tx) })
+		w.schedule(func() { n.event(lostAnswer(a)) })
+		return
+	}
 	w.scheduleAt(w.now.Add(n.callDelay), func() {
 		w.call(a, func(ev effect.Event) {
 			w.scheduleAt(w.now.Add(n.callDelay), func() { n.event(ev) })
@@ -490,12 +507,12 @@
 	if n.dead || n.paused {
 		return OutOfReach
 	}
-	v := n.book.Reserve(n.w.now, budget, worst)
+	v := n.book.Reserve(n.now(), budget, worst)
 	if v.Kind != Granted {
 		return v.Kind
 	}
 	if n.sealed {
-		n.book.Settle(n.w.now, budget, worst, 0)
+		n.book.Settle(n.now(), budget, worst, 0)
 		return OutOfReach
 	}
 	n.spent[budget] += worst
@@ -511,7 +528,7 @@
 	r := n.running[i]
 	n.running = append(n.running[:i], n.running[i+1:]...)
 	n.spent[r.budget] -= r.tokens - used
-	n.book.Settle(n.w.now, r.budget, r.tokens, used)
+	n.book.Settle(n.now(), r.budget, r.tokens, used)
 }
 
 // serve repeats the request until it gets a final verdict.
