core/escrow, core/edge: the time of day must show as well when a process had ended

Marks are proven only if by it as well at most 2.5 s passed from the row to the first answer to the next process, on the same machine. This can only refuse proofs: a time of day that jumps forward in between loses them.

Tests: TestBirth, TestClosedLate and TestRowOfCopy have the new field; TestClosedLate has two cases more. TestSucceededNeverOverspent and TestFreeNotEarly go without the help of the time of day.

--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -305,11 +305,11 @@
 		e.handleMessage(ev)
 		e.stepComponents(ev)
 	case effect.Transacted:
-		e.births.observe(ev.Clock)
+		e.births.observe(now, ev.Clock)
 		e.handleTransacted(ev)
 		e.stepComponents(ev)
 	case effect.Rows:
-		e.births.observe(ev.Clock)
+		e.births.observe(now, ev.Clock)
 		e.stepComponents(ev)
 	case Dialed:
 		e.handleDialed(ev)
--- a/core/edge/ended.go
+++ b/core/edge/ended.go
@@ -27,9 +27,9 @@
 }
 
 // observe records the clock of an answer of the table.
-func (b *births) observe(c waxwingwall.StoreClock) {
+func (b *births) observe(now time.Time, c waxwingwall.StoreClock) {
 	if !b.first.Known() {
-		b.first = escrow.ClockOf(c)
+		b.first = escrow.AnsweredAt(now, c)
 	}
 }
 
--- a/core/edge/ended_test.go
+++ b/core/edge/ended_test.go
@@ -26,7 +26,7 @@
 	answer := written(first)
 	answer.Clock = waxwingwall.StoreClock{Era: 1, Now: 7 * time.Second}
 	out := append(h.step(answer), h.step(effect.Tick{})...)
-	if got, want := clock(out), (escrow.RowClock{Era: 1, Ms: 7_000}); got != want {
+	if got, want := clock(out), (escrow.RowClock{Era: 1, Ms: 7_000, Day: h.now.UnixMilli()}); got != want {
 		t.Errorf("the row has the clock %+v, want %+v", got, want)
 	}
 	second := written(only[effect.Transact](h, out))
--- a/core/escrow/clock.go
+++ b/core/escrow/clock.go
@@ -43,6 +43,9 @@
 	// Era is the number of the table's era and Ms the time in milliseconds.
 	Era int64 `json:"era,omitempty"`
 	Ms  int64 `json:"ms"`
+
+	// Day is the time of day at the router then, in milliseconds since 1970; zero if it is not known.
+	Day int64 `json:"day,omitempty"`
 }
 
 // Known reports whether c is a time.
@@ -52,7 +55,7 @@
 
 // Valid reports whether a node can have written the time.
 func (c RowClock) Valid() bool {
-	return c.Ms >= 0 && c.Ms <= maxClock && c.Era >= 0
+	return c.Ms >= 0 && c.Ms <= maxClock && c.Era >= 0 && c.Day >= 0 && c.Day <= maxClock
 }
 
 // ClockOf returns the time of an answer of the table.
@@ -160,7 +163,7 @@
 		b.limitStored(e)
 	}
 	if s.clocked {
-		row.Clock = clock
+		row.Clock = clock.seenAt(b.now)
 		b.counts.Clocked++
 	}
 }
@@ -214,10 +217,25 @@
 	return left + b.pacing.minDrawInterval/2 + b.jitter(b.pacing.minDrawInterval), true
 }
 
+// seenAt returns the time with the time of day at which a router knew it.
+func (c RowClock) seenAt(now time.Time) RowClock {
+	if c.Known() {
+		c.Day = now.UnixMilli()
+	}
+	return c
+}
+
+// AnsweredAt returns the time of an answer of the table that came at a time of day.
+func AnsweredAt(now time.Time, c waxwingwall.StoreClock) RowClock {
+	return ClockOf(c).seenAt(now)
+}
+
 // proves reports whether a process that had ended by a time, by the table's clock, stayed within
-// the marks of a row of that clock.
+// the marks of a row of that clock. The time of day of the machine must show so as well, so that a
+// table's clock alone that goes back or stands still, though it should be steady, proves nothing.
 func (c RowClock) proves(endedBy RowClock) bool {
-	if !c.Known() || !endedBy.Known() || c.Era != endedBy.Era {
+	if !c.Known() || !endedBy.Known() || c.Era != endedBy.Era || c.Day == 0 ||
+		endedBy.Day == 0 || endedBy.Day-c.Day > freeTime.Milliseconds() {
 		return false
 	}
 	// Within one millisecond no process ends and the next one starts: the clock stands still.
--- a/core/escrow/clock_test.go
+++ b/core/escrow/clock_test.go
@@ -163,21 +163,23 @@
 // TestClosedLate guards against tokens that are returned by marks that may no longer have held
 // when the process ended.
 func TestClosedLate(t *testing.T) {
-	stamp := RowClock{Era: 1, Ms: 10_000}
+	stamp := RowClock{Era: 1, Ms: 10_000, Day: 50_000}
 	for _, c := range []struct {
 		name    string
 		endedBy RowClock
 		want    bool
 	}{
-		{"soon", RowClock{Era: 1, Ms: 11_000}, true},
-		{"just in time", RowClock{Era: 1, Ms: 12_374}, true},
-		{"with a quick clock too late", RowClock{Era: 1, Ms: 12_375}, false},
-		{"too late", RowClock{Era: 1, Ms: 20_000}, false},
-		{"another era", RowClock{Era: 2, Ms: 11_000}, false},
-		{"an earlier era", RowClock{Ms: 11_000}, false},
-		{"the clock went back", RowClock{Era: 1, Ms: 9_000}, false},
-		{"the clock stands still", RowClock{Era: 1, Ms: 10_000}, false},
+		{"soon", RowClock{Era: 1, Ms: 11_000, Day: 52_500}, true},
+		{"just in time", RowClock{Era: 1, Ms: 12_374, Day: 52_500}, true},
+		{"with a quick clock too late", RowClock{Era: 1, Ms: 12_375, Day: 52_500}, false},
+		{"too late", RowClock{Era: 1, Ms: 20_000, Day: 52_500}, false},
+		{"another era", RowClock{Era: 2, Ms: 11_000, Day: 52_500}, false},
+		{"an earlier era", RowClock{Ms: 11_000, Day: 52_500}, false},
+		{"the clock went back", RowClock{Era: 1, Ms: 9_000, Day: 52_500}, false},
+		{"the clock stands still", RowClock{Era: 1, Ms: 10_000, Day: 52_500}, false},
 		{"no clock", RowClock{}, false},
+		{"too late by the time of day", RowClock{Era: 1, Ms: 11_000, Day: 52_501}, false},
+		{"no time of day", RowClock{Era: 1, Ms: 11_000}, false},
 	} {
 		if got := stamp.proves(c.endedBy); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
@@ -303,7 +305,7 @@
 			Key:     ShareKey(dead, 0),
 			Version: 1,
 			Value: Encode(ShareRow{
-				Clock:   RowClock{Ms: 10_000},
+				Clock:   RowClock{Ms: 10_000}.seenAt(now),
 				Entries: []ShareEntry{{Budget: shop, Granted: 1_000, Allowance: 1_000, Marked: true, Mark: 100}},
 			}),
 		}
--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -411,7 +411,7 @@
 		return
 	}
 	if !c.endedBy.Known() {
-		c.endedBy = ClockOf(ev.Clock)
+		c.endedBy = AnsweredAt(now, ev.Clock)
 	}
 	if !c.listed {
 		c.applyList(ev.Rows)
--- a/core/escrow/successor_test.go
+++ b/core/escrow/successor_test.go
@@ -9,10 +9,18 @@
 	"waxwingwall"
 )
 
+// bornNow returns the table's clock for a process that begins now. Its time of day has gone back, so
+// that the table's clock alone proves when the one before it ended.
+func (w *world) bornNow() RowClock {
+	born := ClockOf(w.clockNow())
+	born.Day = 1
+	return born
+}
+
 // succeed starts the process after a dead node's, which closes its rows by the table's clock then,
 // or lets others do so later by that time.
 func (w *world) succeed(n *testNode, after time.Duration) {
-	born := ClockOf(w.clockNow())
+	born := w.bornNow()
 	opts := []CloserOption{WithCloserShards(len(n.book.shards)), WithCloserSeed(uint64(len(w.machines))), WithEnded(), WithMarksInTable(born)}
 	w.scheduleAt(w.now.Add(after), func() {
 		w.machines = append(w.machines, &testMachine{stepper: NewCloser(n.book.self, nil, opts...)})
@@ -120,7 +128,7 @@
 			if spent > e.newestMark {
 				beyond++
 			}
-			c := NewCloser(n.book.self, nil, WithCloserShards(2), WithEnded(), WithMarksInTable(ClockOf(w.clockNow())))
+			c := NewCloser(n.book.self, nil, WithCloserShards(2), WithEnded(), WithMarksInTable(w.bornNow()))
 			w.machines = append(w.machines, &testMachine{stepper: c})
 			w.run(time.Second)
 			if c.Returned > 0 {
@@ -146,6 +154,15 @@
 	}
 }
 
+// TestClockBack is like TestWrongClock if the clock goes back, or stands still, by about as long as
+// the node was cut off.
+func TestClockBack(t *testing.T) {
+	const cut = 4 * time.Second
+	for name, back := range map[string]time.Duration{"stands still": cut, "goes back": cut - time.Second} {
+		checkWrongClock(t, name, cut, back)
+	}
+}
+
 func checkWrongClock(t *testing.T, name string, cut, back time.Duration) {
 	t.Helper()
 	w := newClockedWorld(1, 2, 1_000_000)
