relay: refused callers with unread bodies get their answer, not a reset

The read deadline of a refused body ends net/http's reading of it at once. For bodies of up to 256 KB the server then closes the connection with bytes unread, and the kernel sends a reset, which may overtake the answer. Now the server is told that the body is over a limit: it ends its own side first, and closes half a second later. TestRefusalIsNotReset failed before (connection reset by peer after the answer, body of 100,000 bytes) and passes.

--- a/relay/intake.go
+++ b/relay/intake.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -135,6 +137,12 @@
 // read it first to use the connection again.
 func (p *proxyRequest) leaveBody() {
 	p.w.Header().Set("Connection", "close")
+	// The server closes at once if less than 256 KB are unread, and the reset that follows may
+	// overtake the answer. After a body over a limit it ends its own side first, and waits.
+	over := http.MaxBytesReader(p.w, io.NopCloser(strings.NewReader("x")), 0)
+	if _, err := io.Copy(io.Discard, over); err == nil {
+		p.relay.log.Warning("no_lingering_close")
+	}
 	if err := http.NewResponseController(p.w).SetReadDeadline(time.Now()); err != nil {
 		p.relay.log.WithError(err).Warning("no_read_deadline")
 	}
