core/edge: requests at endpoints that give no room take none of the others'

The room of a service leaves out the slots of endpoints that are evacuated, leaving, paused or limited, but what still ran there, here and at peers, was counted against the rest. With 24 requests running in an evacuated failure domain, two idle endpoints of 6 slots had room for none: new requests were refused no_room. TestRoomBesideEvacuated failed in both cases before and passes.

--- a/core/edge/room.go
+++ b/core/edge/room.go
@@ -187,6 +187,12 @@
 	return sum
 }
 
+// givesRoom reports whether the slots of an endpoint are part of the room. What runs at others, as
+// those that are left, takes none of it.
+func (e *Edge) givesRoom(row *endpoint) bool {
+	return row.usable() && !e.limits.Limited(row.replica.Endpoint)
+}
+
 // roomEstimate is the room of this router at a service with its inputs.
 type roomEstimate struct {
 	queue.Room
@@ -203,7 +209,9 @@
 		serviceSlots: e.serviceSlots(service),
 	}
 	for _, row := range e.endpoints.byService[service] {
-		est.running += row.running
+		if e.givesRoom(row) {
+			est.running += row.running
+		}
 	}
 	runTime := e.usualRunTime(service, q)
 	if est.unbounded || runTime == 0 {
--- a/core/edge/shortage.go
+++ b/core/edge/shortage.go
@@ -306,7 +306,7 @@
 		served:   map[waxwingwall.Model][]queue.AccountTokens{},
 	}
 	for _, l := range m.Loads {
-		if row := e.endpoints.rows[l.Endpoint]; row != nil {
+		if row := e.endpoints.rows[l.Endpoint]; row != nil && e.givesRoom(row) {
 			room.running[row.replica.Service] += l.Running
 		}
 	}
