--- a/core/edge/ended_test.go
+++ b/core/edge/ended_test.go
@@ -88,7 +88,7 @@
 		{"late", map[int64]int64{6: 4_000}, time.Minute, defaultRetryAfter},
 	} {
 		h := newHarness(t)
-		h.edge.births.observe(waxwingwall.StoreClock{Now: time.Second})
+		h.edge.births.observe(h.now, waxwingwall.StoreClock{Now: time.Second})
 		dead := waxwingwall.Incarnation{VM: "vm-2", Boot: 5}
 		h.edge.nodes.rows[dead] = &node{deadSince: h.now.Add(-c.dead), changedAt: h.now.Add(-c.dead)}
 		h.edge.nodes.newest = map[waxwingwall.VM]int64{dead.VM: 5}
