core/queue: requests passed over for memory are refused once they are too late

While there was room for fewer requests than wait, or for as many, none was looked at for being too late. One for which memory is short, or whose rank yields, then kept waiting, with its tokens, up to the deadline of the request. What is still there after the turns are given, and too late, is refused. TestLateBesideRoom failed before and passes.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -286,6 +286,7 @@
 			ID: n.ID,
 		})
 	}
+	q.refusePassedOver(now)
 	out := q.actions
 	q.actions = nil
 	return out
@@ -312,6 +313,21 @@
 	}
 }
 
+// refusePassedOver refuses the requests that are too late and for which there is no room yet, though
+// there may be some for others.
+func (q *Queue) refusePassedOver(now time.Time) {
+	for _, n := range slices.Clone(q.waiting) {
+		if !now.After(n.Latest) {
+			continue
+		}
+		q.remove(n)
+		q.actions = append(q.actions, Action{
+			ID:         n.ID,
+			RetryAfter: q.book(now, n.Rank, 0),
+		})
+	}
+}
+
 // next returns the request that goes next; nil if none may go.
 func (q *Queue) next(now time.Time) *entry {
 	ordered := q.order(now)
