core/edge: the memory of cold endpoints counts while they have permits

While a permit of a limited endpoint may be had, one request at a time has room, but its memory was that of the other endpoints alone. With the memory of all warm engines taken, requests waited and were refused although an idle cold engine had a permit. TestMemoryBesideCold failed before (queued) and passes.

--- a/core/edge/room.go
+++ b/core/edge/room.go
@@ -161,7 +161,10 @@
 			continue
 		}
 		if e.limits.Limited(row.replica.Endpoint) {
-			sum.permits = sum.permits || e.limits.MayAsk(e.now, service)
+			if e.limits.MayAsk(e.now, service) {
+				sum.permits = true
+				sum.addMemory(s, row)
+			}
 			continue
 		}
 		sum.endpoints++
@@ -176,17 +179,22 @@
 			own = min(own, float64(row.running+row.peerLoad.running))
 		}
 		slots += own
-		if engine && s.Memory > 0 {
-			limit := waxwingwall.Tokens(float64(s.Memory) * usableMemoryShare)
-			sum.largest = limit
-			sum.fit = max(sum.fit, limit-row.memory-row.peerLoad.memory)
-		}
+		sum.addMemory(s, row)
 	}
 	sum.slots = int(slots)
 	sum.unbounded = sum.endpoints == 0
 	return sum
 }
 
+// addMemory adds the memory of an endpoint, if that of its service is known.
+func (s *serviceSlots) addMemory(service *waxwingwall.Service, row *endpoint) {
+	if service == nil || !service.Engine || service.Memory <= 0 {
+		return
+	}
+	s.largest = waxwingwall.Tokens(float64(service.Memory) * usableMemoryShare)
+	s.fit = max(s.fit, s.largest-row.memory-row.peerLoad.memory)
+}
+
 // givesRoom reports whether the slots of an endpoint are part of the room. What runs at others, as
 // those that are left, takes none of it.
 func (e *Edge) givesRoom(row *endpoint) bool {
--- a/core/edge/roomleft_test.go
+++ b/core/edge/roomleft_test.go
@@ -46,3 +46,28 @@
 		})
 	}
 }
+
+// TestMemoryBesideCold: the memory of all warm engines is taken when a cold one, which is idle, has a
+// permit left. A request goes there.
+func TestMemoryBesideCold(t *testing.T) {
+	h := newColdHarness(t)
+	_, out := h.arrive(call("draft"))
+	d := only[Dispatch](h, out)
+	h.advance(50 * time.Millisecond)
+	h.endAttempt(d, AttemptEnded{Result: Complete})
+	h.list(0, coldTime, 5)
+	h.advance(time.Second)
+	cold := engines(1)[0].Endpoint
+	if !h.edge.limits.Limited(cold) || !h.edge.limits.MayAsk(h.now, "model") {
+		t.Fatal("no permit may be had")
+	}
+	for _, row := range h.edge.endpoints.byService["model"] {
+		if row.replica.Endpoint != cold {
+			row.memory = 400_000
+		}
+	}
+	_, out = h.arrive(call("draft"))
+	if d := only[Dispatch](h, out); d.Params.Endpoint != cold {
+		t.Errorf("sent to %s", d.Params.Endpoint)
+	}
+}
