--- a/core/edge/address.go
+++ b/core/edge/address.go
@@ -16,10 +16,6 @@
 	ready      bool
 	peersEpoch int
 	at         time.Time
-
-	// startedAt is when it was asked for first, known is set once the others are known.
-	startedAt time.Time
-	known     bool
 }
 
 // candidate is a router that may be listed to callers.
@@ -33,14 +29,11 @@
 	// cut is set if the router reaches a service only through peers, stale if its list of
 	// endpoints is too old.
 	cut, stale bool
-
-	// full is set if callers ask for more than the router's link carries.
-	full bool
 }
 
 // Addresses returns the addresses to which callers may connect: those of the
 // routers that are reachable and not leaving. Routers whose list of endpoints is too
-// old, routers with slow or full links and routers that are much busier than the others are
+// old, routers with slow links and routers that are much busier than the others are
 // omitted while enough others remain: a few large callers keep using the routers that they know until these
 // are no longer listed.
 func (e *Edge) Addresses(now time.Time) ([]netip.AddrPort, time.Duration) {
@@ -62,9 +55,6 @@
 
 // selectAddresses returns the addresses of the routers that callers should use.
 func (e *Edge) selectAddresses(now time.Time) []netip.AddrPort {
-	if !e.knowsFleet(now) {
-		return nil
-	}
 	all := withoutCut(e.candidates(now))
 	all = filterCandidates(all, func(c candidate) bool { return !c.stale })
 	fastest := 0
@@ -72,7 +62,6 @@
 		fastest = max(fastest, c.link)
 	}
 	all = filterCandidates(all, func(c candidate) bool { return c.link*slowLinkFactor >= fastest })
-	all = filterCandidates(all, func(c candidate) bool { return !c.full })
 	sum := 0
 	for _, c := range all {
 		sum += c.running
@@ -122,7 +111,6 @@
 			running: len(e.requests),
 			cut:     len(e.cuts()) > 0,
 			stale:   !e.mayDispatch(),
-			full:    e.linkFull,
 		})
 	}
 	for _, p := range e.view.Peers(now) {
@@ -135,7 +123,6 @@
 			running: e.peerRunning(p.Incarnation),
 			cut:     len(e.gossip.reports[p.Incarnation].Cuts) > 0,
 			stale:   e.peerStale(e.gossip.reports[p.Incarnation]),
-			full:    e.gossip.reports[p.Incarnation].LinkFull,
 		}
 		all = append(all, c)
 	}
--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -57,8 +57,18 @@
 		return e.unavailableProblem("stopping", "this router is about to stop", stoppingRetryAfter)
 	}
 	r.service = chooseService(r.route, cmp.Or(r.streamName(), r.call.ID))
-	r.rank = rankOf(r.route, r.account)
-	r.deadline = r.arrived.Add(timeLimit(r.route, &r.call))
+	r.rank = r.route.Rank
+	if r.account != nil && r.account.HasRank {
+		r.rank = r.account.Rank
+	}
+	timeout := r.route.Timeout
+	if r.call.CallerTimeout > 0 && (timeout <= 0 || r.call.CallerTimeout < timeout) {
+		timeout = r.call.CallerTimeout
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	r.deadline = r.arrived.Add(timeout)
 	if e.outlastsStop(r) {
 		return e.unavailableProblem("stopping", "this router stops before the request could end", stoppingRetryAfter)
 	}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -133,7 +133,6 @@
 
 	// The tables.
 	config       configIndex
-	routing      *Routing
 	endpoints    endpoints
 	requests     map[uint64]*request
 	retryBudgets map[waxwingwall.Model]*retryBudget
@@ -141,8 +140,6 @@
 	nodes        nodes
 	gossip       gossipState
 	listed       listing
-	listHold     time.Duration
-	linkFull     bool
 	link         link
 	reach        reach
 	departures   departures
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -88,10 +88,6 @@
 	// store; zero if it has not had any, and from earlier versions of this program.
 	EndpointsAge time.Duration
 
-	// LinkFull is set if requests ask for more than the sender's link carries; it is unset in
-	// reports from earlier versions of this program.
-	LinkFull bool
-
 	// Loads are the endpoints at which the sender has requests in flight.
 	Loads []EndpointLoad
 
@@ -360,7 +356,6 @@
 		Revision:       e.endpoints.revision,
 		EndpointsStale: e.endpointsStale(),
 		EndpointsAge:   e.endpointsAge(),
-		LinkFull:       e.linkFull,
 		Cuts:           e.cuts(),
 		Departures:     append(e.announcements.list(e.now), e.departures.list(e.now)...),
 		Reads:          e.gossip.pendingReads,
--- a/core/edge/link.go
+++ b/core/edge/link.go
@@ -118,15 +118,6 @@
 	return shortest
 }
 
-// LinkDelay returns the estimated queueing delay of the VM's link, and when the newest connection
-// was made that tells of it; zero if there is none.
-func (e *Edge) LinkDelay(now time.Time) (delay time.Duration, at time.Time) {
-	if n := len(e.link.dials); n > 0 {
-		at = e.link.dials[n-1].receivedAt
-	}
-	return e.link.queueDelay(now), at
-}
-
 // handleDialed records a new connection and logs a change of the link's state.
 func (e *Edge) handleDialed(ev Dialed) {
 	if e.countsForLink(ev) {
--- a/core/intake/example_test.go
+++ b/core/intake/example_test.go
@@ -9,14 +9,14 @@
 
 // A link of 1 Mbit/s passes on 106 bytes in a ms.
 func Example() {
-	link := intake.New(1, 0)
+	link := intake.New(1)
 	now := time.Unix(0, 0)
 	for range 3 {
-		v := link.Accept(now, intake.Request{Body: 15_000})
-		fmt.Println(v.Accepted(), v.RetryAfter.Round(time.Millisecond))
+		retryAfter, ok := link.Accept(now, 15_000)
+		fmt.Println(ok, retryAfter.Round(time.Millisecond))
 	}
-	v := link.Accept(now.Add(time.Second), intake.Request{Body: 15_000})
-	fmt.Println(v.Accepted())
+	_, ok := link.Accept(now.Add(time.Second), 15_000)
+	fmt.Println(ok)
 	// Output:
 	// true 0s
 	// false 152ms
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -50,7 +50,7 @@
 		{body: 600, perSecond: 60},
 		{body: 0, perSecond: 60},
 	}
-	l := New(linkMbps, 0)
+	l := New(linkMbps)
 	random := rand.New(rand.NewPCG(1, 1))
 	var q queue
 	var carried int
@@ -63,10 +63,10 @@
 			if random.IntN(1000) >= k.perSecond {
 				continue
 			}
-			v := l.Accept(now, Request{Body: int64(k.body)})
-			if !v.Accepted() {
+			retryAfter, ok := l.Accept(now, int64(k.body))
+			if !ok {
 				k.refused++
-				if v.RetryAfter <= 0 {
+				if retryAfter <= 0 {
 					t.Fatal("refused without a time to return")
 				}
 				continue
@@ -100,13 +100,12 @@
 // which they were refused, and that a free link accepts all.
 func TestReturnInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := New(rapid.IntRange(1, 1000).Draw(t, "mbps"), 0)
+		l := New(rapid.IntRange(1, 1000).Draw(t, "mbps"))
 		now := time.Unix(1_800_000_000, 0)
 		var last time.Time
 		for range 200 {
-			v := l.Accept(now, Request{Body: rapid.Int64Range(0, 100_000).Draw(t, "length")})
-			retryAfter := v.RetryAfter
-			if v.Accepted() {
+			retryAfter, ok := l.Accept(now, rapid.Int64Range(0, 100_000).Draw(t, "length"))
+			if ok {
 				last = time.Time{}
 				continue
 			}
@@ -120,7 +119,7 @@
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "pause")) * time.Millisecond)
 		}
-		if v := l.Accept(now.Add(time.Hour), Request{Body: 1_000_000}); !v.Accepted() {
+		if _, ok := l.Accept(now.Add(time.Hour), 1_000_000); !ok {
 			t.Fatal("refused by a free link")
 		}
 	})
@@ -128,9 +127,9 @@
 
 // TestNoLimit checks that a router of unknown link speed accepts everything.
 func TestNoLimit(t *testing.T) {
-	l := New(0, 0)
+	l := New(0)
 	for range 1000 {
-		if v := l.Accept(time.Unix(1, 0), Request{Body: 1_000_000}); !v.Accepted() {
+		if _, ok := l.Accept(time.Unix(1, 0), 1_000_000); !ok {
 			t.Fatal("refused")
 		}
 	}
--- a/io/logline/trace.go
+++ b/io/logline/trace.go
@@ -119,7 +119,7 @@
 			attempt = l
 		case "budget_short":
 			budget = l
-		case "refused", "intake_refused", "cut", "served", "caller_left":
+		case "refused", "cut", "served", "caller_left":
 			last = *l
 		}
 	}
@@ -130,9 +130,6 @@
 		return "served"
 	case "caller_left":
 		return "its caller went away"
-	case "intake_refused":
-		return fmt.Sprintf("refused as %v: %v after a wait of %v for the link, account %v has %v of its %v bytes",
-			last.Fields["code"], last.Fields["reason"], last.Fields["delay"], last.Fields["account"], last.Fields["taken"], last.Fields["share"])
 	}
 	text := last.Event
 	if code := stringOf(last.Fields["code"]); code != "" {
--- a/io/tcp/window.go
+++ b/io/tcp/window.go
@@ -18,20 +18,6 @@
 	return lc.Listen(ctx, "tcp", address)
 }
 
-// SetWindow limits what the peer of a connection may send before it is read to about window
-// bytes. What the peer has been allowed to send already stays allowed.
-func SetWindow(conn net.Conn, window int) error {
-	c, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return err
-	}
-	return setWindow(raw, window)
-}
-
 // setWindow limits the receive buffer; accepted connections inherit it. The kernel takes twice
 // the size, of which it keeps half for itself.
 func setWindow(raw syscall.RawConn, window int) error {
--- a/relay/control.go
+++ b/relay/control.go
@@ -102,10 +102,6 @@
 
 // publish updates the state that is shared with other goroutines.
 func (r *Relay) publish(now time.Time) {
-	delay, measuredAt := r.edge.LinkDelay(now)
-	r.link.observe(now, delay, measuredAt)
-	asked, _, _ := r.link.load()
-	r.edge.SetLinkAsked(asked)
 	r.metrics.observeMarkWrites(r.edge.MarkWrites())
 	addresses, addressTTL := r.edge.RecentAddresses(now)
 	previous, evacuated := r.sharedState.Load(), r.edge.Evacuating()
@@ -132,7 +128,6 @@
 
 		endpointsAge: r.edge.EndpointsAge(now),
 		cold:         r.edge.ColdInstances(),
-		routing:      r.edge.Routing(),
 		paths:        r.edge.Paths(),
 		withheld:     r.edge.Withheld(now),
 		silenced:     r.edge.Silenced(),
--- a/relay/head.go
+++ b/relay/head.go
@@ -56,7 +56,7 @@
 	if limits.BodyBytes > 0 && p.r.ContentLength > limits.BodyBytes {
 		return problem(http.StatusRequestEntityTooLarge, "body_too_large", "the body is over the limit")
 	}
-	if problem := p.relay.admitBody(p); problem != nil {
+	if problem := p.relay.link.accept(p.r.ContentLength); problem != nil {
 		return problem
 	}
 	return p.readBody(limits)
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -40,7 +40,6 @@
 	accountTurns   metric.Int64Counter
 	queueWait      metric.Float64Counter
 	omittedLines   metric.Int64Counter
-	intakeRefused  metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
 	duration       metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
@@ -72,9 +71,9 @@
 	m := &metrics{
 		handler:   handler,
 		close:     stop,
-		meter:     meter,
 		endpoints: map[waxwingwall.Endpoint]bool{},
 		accounts:  map[waxwingwall.Account]bool{},
+		meter:     meter,
 	}
 	observe := func(_ context.Context, o metric.Int64Observer) error {
 		o.Observe(int64(queueLength()))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,6 +30,7 @@
 	"waxwingwall/core/edge"
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
+	"waxwingwall/core/intake"
 	"waxwingwall/core/limit"
 	"waxwingwall/core/member"
 	"waxwingwall/io/heads"
@@ -58,10 +59,6 @@
 	// watch.
 	updatesSize = 16
 
-	// listHold is how long callers are told of no router after the start, unless the others are
-	// known before.
-	listHold = 2 * time.Second
-
 	// sweepInterval is the time between two sweeps for idle connections.
 	sweepInterval = time.Second
 
@@ -165,9 +162,6 @@
 	// edge.Edge.ColdInstances.
 	cold map[edge.Instance]time.Time
 
-	// routing tells the terms of requests, see edge.Edge.Routing.
-	routing *edge.Routing
-
 	// paths are the endpoints that are reached, see edge.Edge.Paths.
 	paths map[netip.AddrPort]bool
 
@@ -231,7 +225,9 @@
 		callerConns: callerConns{
 			states: map[net.Conn]http.ConnState{},
 		},
-		link:    newLink(s.LinkMbps),
+		link: link{
+			limiter: intake.New(s.LinkMbps),
+		},
 		waiting: quota.New(max(s.MemoryBytes/waitingDivisor, minWaitingBytes)),
 		heads:   heads.NewQuota(max(s.MemoryBytes/headsDivisor, minHeadsBytes)),
 		inbox:   make(chan job, inboxSize),
@@ -265,9 +261,6 @@
 	if err = r.metrics.observeCold(func() int { return len(r.sharedState.Load().cold) }); err != nil {
 		return trace.Wrap(err)
 	}
-	if err = r.metrics.observeIntake(&r.link); err != nil {
-		return trace.Wrap(err)
-	}
 	var cleanup func()
 	r.store, cleanup = platform.New(
 		r.settings.Store,
@@ -301,7 +294,6 @@
 		},
 		edge.WithSeed(uint64(now.UnixNano())),
 		edge.WithBounds(bounds(r.settings)),
-		edge.WithListHold(listHold),
 	)
 	r.publish(now)
 	if err := r.serve(); err != nil {
--- a/relay/request.go
+++ b/relay/request.go
@@ -125,11 +125,8 @@
 	defer p.cut()
 	defer p.openHoldings()()
 	if problem := p.readRequest(s.limits); problem != nil {
-		// The refusals of intake have a line of their own.
-		if problem.Code != codeLinkFull {
-			r.log.WithField("request", p.call.ID).WithField("code", problem.Code).
-				WithField("status", problem.Status).WithField("cause", problem.Message).Info("refused")
-		}
+		r.log.WithField("request", p.call.ID).WithField("code", problem.Code).
+			WithField("status", problem.Status).WithField("cause", problem.Message).Info("refused")
 		p.refuse(problem)
 		return
 	}
