--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -27,8 +27,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(s *stage) (broken bool, err error){
-	"tokens": playTokens,
-	"poison": playPoison,
+	"tokens":   playTokens,
+	"poison":   playPoison,
+	"restarts": playRestarts,
 }
 
 func main() {
--- a/review/stage/poison.go
+++ b/review/stage/poison.go
@@ -18,45 +18,75 @@
 	// crashLimit is the number of crashes after which that counts.
 	crashLimit = 3
 
-	// poisonTime is how long the request comes again, poisonInterval how often from each of poisonClients
-	// clients of its caller. Another client looks something else up every lookupInterval.
+	// poisonTime is how long the request comes again, poisonInterval how often at each machine. Another
+	// client looks something else up every lookupInterval.
 	poisonTime     = 80 * time.Second
 	poisonInterval = 500 * time.Millisecond
-	poisonClients  = 3
 	lookupInterval = 50 * time.Millisecond
+
+	// restartTries is how often it comes to a machine that was started again.
+	restartTries = 6
+
+	// poisonedMachines and poisonedReplicas are the sizes of the deployment.
+	poisonedMachines = 4
+	poisonedReplicas = 6
 )
 
 const poisonTarget = "/quote/poison"
 
-// playPoison lets a request that crashes the replicas that run it come again and again, and checks
-// BUDGET: later than ContactMs after the third crash it reaches replicas in three retries at the most.
-func playPoison(s *stage) (bool, error) {
-	var mu sync.Mutex
-	var crashes []time.Time
-	for range 6 {
-		r := &replica{
-			service: "ledger",
-			slots:   6,
+// playRestarts lets a request that crashes replicas come again after each machine was stopped and started
+// as planned, and checks the same. A machine gets it only once it has run for longer than ContactMs.
+func playRestarts(s *stage) (bool, error) {
+	crashes, err := s.addPoisoned()
+	if err != nil {
+		return false, err
+	}
+	if err := s.configure(quoteManifest()); err != nil {
+		return false, err
+	}
+	if err := s.startRouters(poisonedMachines); err != nil {
+		return false, err
+	}
+	time.Sleep(contactTime + time.Second)
+	for range 2 {
+		for _, r := range s.routers {
+			s.sendPoison(r)
 		}
-		r.crashes = func(req *http.Request) bool {
-			if !s.trouble || req.URL.Path != poisonTarget {
-				return false
+	}
+	for _, r := range s.routers {
+		if s.trouble {
+			s.record("%s is stopped and started", r.name)
+			if err := r.restart(); err != nil {
+				return false, err
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			crashes = append(crashes, time.Now())
-			id, _ := r.name()
-			s.record("%s reaches %s, which begins to run it and crashes (%d)", req.Header.Get("X-Attempt-Id"), id, len(crashes))
-			return true
 		}
-		if err := s.addReplica(r); err != nil {
-			return false, err
+		time.Sleep(contactTime + time.Second)
+		for range restartTries {
+			s.sendPoison(r)
+			time.Sleep(poisonInterval)
 		}
 	}
+	return crashes.judge(s), nil
+}
+
+// sendPoison sends the request to a machine.
+func (s *stage) sendPoison(r *router) *attempt {
+	a := send(client(), r, quote(poisonTarget))
+	s.record("%s at %s sent %.3f s: %s, Retry-After %q", a.id, a.machine, a.sent.Sub(s.began).Seconds(), a.outcome(), a.retryAfter)
+	return a
+}
+
+// playPoison lets a request that crashes the replicas that run it come again and again, and checks
+// BUDGET: later than ContactMs after the third crash it reaches replicas in three retries at the most.
+func playPoison(s *stage) (bool, error) {
+	crashes, err := s.addPoisoned()
+	if err != nil {
+		return false, err
+	}
 	if err := s.configure(quoteManifest()); err != nil {
 		return false, err
 	}
-	if err := s.startRouters(4); err != nil {
+	if err := s.startRouters(poisonedMachines); err != nil {
 		return false, err
 	}
 	time.Sleep(3 * time.Second)
@@ -68,27 +98,62 @@
 		lookups.add(a.outcome())
 	})
 	poisons := newTally()
-	for c := range poisonClients {
-		every(stop, &running, poisonInterval, func(i int) {
-			a := send(client(), s.routers[(i+c)%len(s.routers)], quote(poisonTarget))
-			s.record("%s at %s sent %.3f s: %s, Retry-After %q", a.id, a.machine, a.sent.Sub(s.began).Seconds(), a.outcome(), a.retryAfter)
-			poisons.add(a.outcome())
-		})
-	}
+	every(stop, &running, poisonInterval, func(int) {
+		for _, r := range s.routers {
+			running.Go(func() { poisons.add(s.sendPoison(r).outcome()) })
+		}
+	})
 	time.Sleep(poisonTime)
 	close(stop)
 	running.Wait()
-	mu.Lock()
-	defer mu.Unlock()
+	s.record("the request that crashes: %v; other requests: %v", poisons, lookups)
+	return crashes.judge(s), nil
+}
+
+// crashes are the times at which the request reached a replica, which crashed.
+type crashes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+// addPoisoned starts replicas that the request crashes as they begin to run it.
+func (s *stage) addPoisoned() (*crashes, error) {
+	all := &crashes{}
+	for range poisonedReplicas {
+		r := &replica{
+			service: "ledger",
+			slots:   6,
+		}
+		r.crashes = func(req *http.Request) bool {
+			if !s.trouble || req.URL.Path != poisonTarget {
+				return false
+			}
+			all.mu.Lock()
+			defer all.mu.Unlock()
+			all.times = append(all.times, time.Now())
+			id, _ := r.name()
+			s.record("%s reaches %s, which begins to run it and crashes (%d)", req.Header.Get("X-Attempt-Id"), id, len(all.times))
+			return true
+		}
+		if err := s.addReplica(r); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
+
+// judge checks the rule.
+func (c *crashes) judge(s *stage) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	late := 0
-	for _, at := range crashes {
-		if len(crashes) >= crashLimit && at.Sub(crashes[crashLimit-1]) > contactTime {
+	for _, at := range c.times {
+		if len(c.times) >= crashLimit && at.Sub(c.times[crashLimit-1]) > contactTime {
 			late++
 		}
 	}
-	s.record("the request that crashes: %v; other requests: %v", poisons, lookups)
 	s.record("later than %v after the third crash it reached replicas %d times; %d is the most", contactTime, late, maxRetries)
-	return late > maxRetries, nil
+	return late > maxRetries
 }
 
 // quoteManifest is a manifest with one route of idempotent requests.
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -30,6 +30,9 @@
 	portCount     = 10_000
 	portsPerStage = 256
 
+	// graceTime is GraceS of the sites.
+	graceTime = 8 * time.Second
+
 	// startTimeout limits the wait until the routers serve.
 	startTimeout = 20 * time.Second
 
@@ -264,6 +267,23 @@
 	}
 }
 
+// restart stops the machine's process as planned and starts the next one.
+func (r *router) restart() error {
+	r.mu.Lock()
+	_ = r.cmd.Process.Signal(syscall.SIGTERM)
+	done := r.done
+	r.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(graceTime):
+		r.kill()
+	}
+	if err := r.start(); err != nil {
+		return err
+	}
+	return r.waitReady()
+}
+
 // waitReady waits until the machine says that it is ready.
 func (r *router) waitReady() error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
