review: case 6, a manifest without the old service lets a tenant have more than its prepaid total

BUDGET: streams that run while a manifest drops their service are charged one token an event instead of five.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -28,6 +28,7 @@
 // cases are the cases by name.
 var cases = map[string]func(s *stage) (broken bool, err error){
 	"tokens":   playTokens,
+	"charge":   playCharge,
 	"poison":   playPoison,
 	"restarts": playRestarts,
 }
