--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # build line of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/stage
+go build -o target/review-2/stage ./review/stage/platform
