--- a/review/stage/platform/tokens.go
+++ b/review/stage/platform/tokens.go
@@ -24,7 +24,7 @@
 	// beforeTime is the time of the traffic before the loss of power, darkTime how long the machines
 	// are dark, afterTime how long the requests are judged after the recovery.
 	beforeTime = 10 * time.Second
-	darkTime   = 5 * time.Second
+	darkTime   = 3500 * time.Millisecond
 	afterTime  = 10 * time.Second
 )
 
