core/escrow, core/edge: closings say why marks in the table don't count

share_closed told only that a share was closed without proof. It now has the longest time that the router may have run after it sent the row, and the reason: no marks, end unknown, late, another era, the clock went back, no time of day.

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -194,7 +194,8 @@
 			for _, share := range c.closer.Shares {
 				e.log("share_closed", "", field("node", c.closer.Dead.String()), field("budget", share.Budget),
 					field("returned", share.Returned), field("retained", share.Retained),
-					field("lost", share.Lost), field("unmarked", share.Unmarked()), field("proof", share.Proof()))
+					field("lost", share.Lost), field("unmarked", share.Unmarked()), field("proof", share.Proof()),
+					field("unproven", share.Unproven), field("age", share.Age))
 			}
 			e.log("closed", "", field("node", c.closer.Dead.String()), field("returned", c.closer.Returned))
 			e.deleteNode(c.closer.Dead)
--- a/core/escrow/clock.go
+++ b/core/escrow/clock.go
@@ -249,15 +249,35 @@
 	return ClockOf(c).seenAt(now)
 }
 
-// proves reports whether a process that had ended by a time, by the table's clock, stayed within
-// the marks of a row of that clock. The time of day of the machine must show so as well, so that a
-// table's clock alone that goes back or stands still, though it should be steady, proves nothing.
-func (c RowClock) proves(endedBy RowClock) bool {
-	if !c.Known() || !endedBy.Known() || c.Era != endedBy.Era || c.Day == 0 ||
-		endedBy.Day == 0 || endedBy.Day-c.Day > freeTime.Milliseconds() {
-		return false
+// Why the marks in the table of a share don't bound what its owner committed.
+const (
+	unprovenUnmarked  = "no_marks"
+	unprovenEnd       = "end_unknown"
+	unprovenEra       = "other_era"
+	unprovenClock     = "clock_back"
+	unprovenTimeOfDay = "no_time_of_day"
+	unprovenLate      = "late"
+)
+
+// until returns how long a process that had ended by a time, by the table's clock, may have run
+// after it sent a row of clock c, by its own steady clock. If that is not known it returns why. The
+// time of day of the machine counts as well, so that a table's clock alone that goes back or stands
+// still, though it should be steady, proves nothing.
+func (c RowClock) until(endedBy RowClock) (passed time.Duration, unproven string) {
+	switch {
+	case !c.Known():
+		return 0, unprovenUnmarked
+	case !endedBy.Known():
+		return 0, unprovenEnd
+	case c.Era != endedBy.Era:
+		return 0, unprovenEra
+	case endedBy.Ms <= c.Ms:
+		// Within one millisecond no process ends and the next one starts: the clock stands still.
+		return 0, unprovenClock
+	case c.Day == 0 || endedBy.Day == 0:
+		return 0, unprovenTimeOfDay
 	}
-	// Within one millisecond no process ends and the next one starts: the clock stands still.
-	passed := time.Duration(endedBy.Ms+1-c.Ms) * time.Millisecond
-	return endedBy.Ms > c.Ms && passed <= freeTime-freeTime/clockDrift
+	byTable := time.Duration(endedBy.Ms+1-c.Ms) * time.Millisecond
+	byDay := time.Duration(endedBy.Day-c.Day) * time.Millisecond
+	return max(byTable+byTable/(clockDrift-1), byDay), ""
 }
--- a/core/escrow/clock_test.go
+++ b/core/escrow/clock_test.go
@@ -181,11 +181,12 @@
 		{"too late by the time of day", RowClock{Era: 1, Ms: 11_000, Day: 52_501}, false},
 		{"no time of day", RowClock{Era: 1, Ms: 11_000}, false},
 	} {
-		if got := stamp.proves(c.endedBy); got != c.want {
-			t.Errorf("%s: %v", c.name, got)
+		passed, unproven := stamp.until(c.endedBy)
+		if got := unproven == "" && passed <= freeTime; got != c.want {
+			t.Errorf("%s: %s %q", c.name, passed, unproven)
 		}
 	}
-	if (RowClock{}).proves(RowClock{Ms: 1}) {
+	if _, unproven := (RowClock{}).until(RowClock{Ms: 1}); unproven == "" {
 		t.Error("a row without a clock proves its marks")
 	}
 }
--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -177,6 +177,11 @@
 	Marked  bool
 	InTable bool
 	Lost    waxwingwall.Tokens
+
+	// Unproven states in snake case why the marks in the table don't bound Retained; empty if they
+	// do. Age is how long the owner may have run after it sent the row; zero if it is not known.
+	Unproven string
+	Age      time.Duration
 }
 
 // Proof returns in one word which marks bound Retained, if any.
@@ -314,10 +319,28 @@
 		len(c.keeperAnswers()) < c.content.Answers
 }
 
-// proven reports whether the process stayed within the marks of the row last read. An answer of
-// another era may have a row that an older one has replaced.
+// proven reports whether the process stayed within the marks of the row last read.
 func (c *Closer) proven() bool {
-	return c.byClock && c.readAt.Known() && c.readAt.Era == c.content.Clock.Era && c.content.Clock.proves(c.endedBy)
+	_, unproven := c.age()
+	return unproven == ""
+}
+
+// age returns how long the process may have run after it sent the row last read, and why the marks
+// of that row don't bound what it committed, if they don't. An answer of another era may have a row
+// that an older one has replaced.
+func (c *Closer) age() (passed time.Duration, unproven string) {
+	if !c.byClock {
+		return 0, unprovenEnd
+	}
+	passed, unproven = c.content.Clock.until(c.endedBy)
+	switch {
+	case unproven != "":
+	case !c.readAt.Known() || c.readAt.Era != c.content.Clock.Era:
+		unproven = unprovenEra
+	case passed > freeTime:
+		unproven = unprovenLate
+	}
+	return passed, unproven
 }
 
 // keeperAnswers returns the answers of the keepers that the row names.
@@ -547,13 +570,19 @@
 			Expect: budgets[i].Version,
 			Value:  Encode(row),
 		})
+		age, unproven := c.age()
+		if !e.Marked {
+			unproven = unprovenUnmarked
+		}
 		c.pendingShares = append(c.pendingShares, ClosedShare{
 			Budget:   e.Budget,
 			Returned: refund,
 			Retained: e.Granted - refund,
 			Marked:   marked,
-			InTable:  e.Marked && c.proven(),
+			InTable:  unproven == "",
 			Lost:     lost,
+			Unproven: unproven,
+			Age:      age,
 		})
 	}
 	c.step = writingClose
