core/escrow: shares of dead routers are closed along a line, however long they were away

Cause: a mark in the share row bound its owner for 2.5 s, and one moment later all of the share was free. So a closer that knew when the process had ended could return what was above the mark within 2.5 s and nothing after. Machines that lose power take longer, and hold 60 to 90 in 100 of what remains.

Change: the row says a line, a mark that is flat for 2.5 s and then rises by a rate, twice the present use, or so that all of the share can be used within 15 s. Its owner stays below the lines of all rows that may be in force, by its own steady clock; a closer takes the line at the time by which the process had ended, by the store's clock and the time of day, whichever is later. An absence then costs what may be used in it, and a death in a cut as well. The line has fields of its own: an older build takes such a row for spent, and marks of older rows hold as long as that build kept to them.

TestLossByAbsence guards against it.

--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -42,7 +42,7 @@
 		}
 		if i.VM == e.Self.VM || e.isReplaced(i, peers) {
 			opts = append(opts, escrow.WithEnded())
-			opts = append(opts, e.marksInTable(i)...)
+			opts = append(opts, e.linesInTable(i)...)
 		}
 		e.closers = append(e.closers, &closeTask{
 			closer: escrow.NewCloser(i, nil, opts...),
--- a/core/edge/ended.go
+++ b/core/edge/ended.go
@@ -75,15 +75,15 @@
 	return earliest
 }
 
-// marksInTable returns the option that closes the shares of a dead incarnation by marks in the
+// linesInTable returns the option that closes the shares of a dead incarnation by marks in the
 // table, if it is proven when it had ended.
-func (e *Edge) marksInTable(dead waxwingwall.Incarnation) []escrow.CloserOption {
+func (e *Edge) linesInTable(dead waxwingwall.Incarnation) []escrow.CloserOption {
 	if dead.VM == e.Self.VM && e.nodes.address(dead) == e.info.Peers {
 		// This process runs, or has run itself as that incarnation.
-		return []escrow.CloserOption{escrow.WithMarksInTable(escrow.RowClock{})}
+		return []escrow.CloserOption{escrow.WithLinesInTable(escrow.RowClock{})}
 	}
 	if by := e.endedBy(dead); by.Known() {
-		return []escrow.CloserOption{escrow.WithMarksInTable(by)}
+		return []escrow.CloserOption{escrow.WithLinesInTable(by)}
 	}
 	return nil
 }
--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -74,10 +74,10 @@
 	}
 }
 
-// WithMarksInTable tells that the process had ended by a time of the table's clock, or if that is
-// zero before the Closer was made, so that shares are closed by the marks in the table. It must be
-// true: a process that lives may go beyond its mark.
-func WithMarksInTable(endedBy RowClock) CloserOption {
+// WithLinesInTable tells that the process had ended by a time of the table's clock, or if that is
+// zero before the Closer was made, so that shares are closed by the lines in the table. It must be
+// true: a process that lives goes on along its line.
+func WithLinesInTable(endedBy RowClock) CloserOption {
 	return func(c *Closer) {
 		c.byClock = true
 		c.endedBy = endedBy
@@ -140,7 +140,7 @@
 	sealAt       time.Time
 	unanswered   bool
 
-	// byClock is set if shares are closed by marks in the table, see WithMarksInTable. The process
+	// byClock is set if shares are closed by lines in the table, see WithLinesInTable. The process
 	// had ended by endedBy, which is the table's clock in the first answer if it was not given.
 	byClock bool
 	endedBy RowClock
@@ -171,15 +171,15 @@
 	// Returned is what went back to the pool, Retained what counts as spent.
 	Returned, Retained waxwingwall.Tokens
 
-	// Marked is set if keepers had marks of the share or the marks in the table are proven, InTable
+	// Marked is set if keepers had marks of the share or its line in the table bounds it, InTable
 	// in the second case. Lost is the part of Retained that the incarnation had not used when it
 	// last sent a mark; set only if Marked is.
 	Marked  bool
 	InTable bool
 	Lost    waxwingwall.Tokens
 
-	// Unproven states in snake case why the marks in the table don't bound Retained; empty if they
-	// do. Age is how long the owner may have run after it sent the row; zero if it is not known.
+	// Unproven states in snake case why the line in the table doesn't bound Retained; empty if it
+	// does. Age is how long the owner may have run after it sent the row; zero if it is not known.
 	Unproven string
 	Age      time.Duration
 }
@@ -319,30 +319,43 @@
 		len(c.keeperAnswers()) < c.content.Answers
 }
 
-// proven reports whether the process stayed within the marks of the row last read.
+// proven reports whether it is known how long the process may have run after it sent the row last
+// read.
 func (c *Closer) proven() bool {
 	_, unproven := c.age()
 	return unproven == ""
 }
 
-// age returns how long the process may have run after it sent the row last read, and why the marks
-// of that row don't bound what it committed, if they don't. An answer of another era may have a row
-// that an older one has replaced.
+// age returns how long the process may have run after it sent the row last read, or why that is not
+// known. An answer of another era may have a row that an older one has replaced.
 func (c *Closer) age() (passed time.Duration, unproven string) {
 	if !c.byClock {
 		return 0, unprovenEnd
 	}
 	passed, unproven = c.content.Clock.until(c.endedBy)
-	switch {
-	case unproven != "":
-	case !c.readAt.Known() || c.readAt.Era != c.content.Clock.Era:
+	if unproven == "" && (!c.readAt.Known() || c.readAt.Era != c.content.Clock.Era) {
 		unproven = unprovenEra
-	case passed > freeTime:
-		unproven = unprovenLate
 	}
 	return passed, unproven
 }
 
+// line returns what the line of an entry allowed its owner to commit until it ended, or why that is
+// not known.
+func (c *Closer) line(e ShareEntry) (bound, used waxwingwall.Tokens, unproven string) {
+	passed, unproven := c.age()
+	switch {
+	case e.Line == nil && !e.Marked:
+		return 0, 0, unprovenNoLine
+	case unproven != "":
+		return 0, 0, unproven
+	case e.Line != nil:
+		return e.Line.at(passed), e.Line.Used, ""
+	case passed > flatTime:
+		return 0, 0, unprovenLate
+	}
+	return e.Mark, e.Used, ""
+}
+
 // keeperAnswers returns the answers of the keepers that the row names.
 func (c *Closer) keeperAnswers() []MarksSealed {
 	var answers []MarksSealed
@@ -570,10 +583,8 @@
 			Expect: budgets[i].Version,
 			Value:  Encode(row),
 		})
-		age, unproven := c.age()
-		if !e.Marked {
-			unproven = unprovenUnmarked
-		}
+		age, _ := c.age()
+		_, _, unproven := c.line(e)
 		c.pendingShares = append(c.pendingShares, ClosedShare{
 			Budget:   e.Budget,
 			Returned: refund,
@@ -605,9 +616,9 @@
 		retained = min(retained, mark.Tokens)
 		lost = max(retained-mark.Used, 0)
 	}
-	if e.Marked && c.proven() {
-		retained = min(retained, e.Mark)
-		lost = max(retained-e.Used, 0)
+	if bound, used, unproven := c.line(e); unproven == "" {
+		retained = min(retained, bound)
+		lost = max(retained-used, 0)
 		marked = true
 	}
 	return e.Granted - retained, lost, marked
--- a/core/escrow/deaths_test.go
+++ b/core/escrow/deaths_test.go
@@ -1,6 +1,7 @@
 package escrow
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,60 @@
 	}
 }
 
+// TestLossByAbsence guards against all that is held being lost with nodes that are away for longer
+// than marks are flat, as after a reboot: an absence costs the leads and what an account may use in
+// that time, whether all nodes lose power in calm or in a cut, once or twice.
+func TestLossByAbsence(t *testing.T) {
+	const (
+		paid        = 10_000_000
+		perSecond   = paid / 200
+		leadPercent = 1
+	)
+	for _, fleet := range []struct{ nodes, busy int }{{8, 8}, {72, 6}, {295, 12}} {
+		for _, absence := range []time.Duration{2 * time.Second, 3500 * time.Millisecond, 5 * time.Second, 7 * time.Second, 10 * time.Second, 30 * time.Second} {
+			for _, cut := range []time.Duration{0, 4 * time.Second} {
+				w := newEvenWorld(1, fleet.nodes, paid)
+				w.clock = true
+				l := &cutLoad{
+					w:    w,
+					busy: fleet.busy,
+				}
+				var before waxwingwall.Tokens
+				for round := range 2 {
+					l.run(8*time.Second, perSecond)
+					if cut > 0 {
+						w.cutAll(true)
+						l.run(cut, perSecond)
+					}
+					l.waiting = nil
+					held := w.heldByLive()
+					w.cutAll(false)
+					w.killForAWhile(fleet.nodes, absence)
+					// The load goes to the first nodes.
+					w.nodes = append(w.live(), w.deadNodes()...)
+					lost := paid - w.spent(shop) - w.budget(shop).Pool() - w.heldByLive()
+					away := cut + absence + clockInterval
+					rising := max(away+away/(clockDrift-1)-flatTime, 0)
+					allowed := paid*leadPercent/100 + waxwingwall.Tokens(rising.Seconds()*float64(lineHeadroom*perSecond+held/waxwingwall.Tokens(lineTime/time.Second)))
+					t.Logf("%d nodes, cut %s, absence %s, round %d: %d held, %d lost, %d allowed", fleet.nodes, cut, absence, round, held, lost-before, allowed)
+					if lost-before > allowed {
+						t.Errorf("%d nodes, cut %s, absence %s, round %d: %d lost of %d held, %d are allowed", fleet.nodes, cut, absence, round, lost-before, held, allowed)
+					}
+					if lost < 0 {
+						t.Errorf("%d nodes, cut %s, absence %s: %d returned that were spent", fleet.nodes, cut, absence, -lost)
+					}
+					before = lost
+				}
+			}
+		}
+	}
+}
+
+// deadNodes returns the nodes that are dead.
+func (w *world) deadNodes() []*testNode {
+	return slices.DeleteFunc(slices.Clone(w.nodes), func(n *testNode) bool { return !n.dead })
+}
+
 // heldByLive returns what the live nodes hold unused by their share rows.
 func (w *world) heldByLive() waxwingwall.Tokens {
 	var sum waxwingwall.Tokens
@@ -100,6 +155,11 @@
 // killAndRestart kills random nodes. New incarnations of them start 2 s later, and then the
 // shares of the dead ones are closed.
 func (w *world) killAndRestart(deaths int) {
+	w.killForAWhile(deaths, 2*time.Second)
+}
+
+// killForAWhile is like killAndRestart with new incarnations that start after an absence.
+func (w *world) killForAWhile(deaths int, absence time.Duration) {
 	killed := w.live()
 	w.random.Shuffle(len(killed), func(i, j int) { killed[i], killed[j] = killed[j], killed[i] })
 	killed = killed[:deaths]
@@ -107,7 +167,7 @@
 		n.dead = true
 	}
 	w.updatePeers()
-	w.run(2 * time.Second)
+	w.run(absence)
 	for _, n := range killed {
 		self := n.book.self
 		self.Boot++
--- a/core/escrow/entry.go
+++ b/core/escrow/entry.go
@@ -63,9 +63,9 @@
 	// flight and by the writes with an unknown result.
 	inFlight, lostWrites bound
 
-	// stored are the marks of the rows that may be in force, storedLimit bounds net by them, as
-	// far as they still hold, and newestMark is that of the row last written.
-	stored                  []storedMark
+	// stored are the lines of the rows that may be in force, storedLimit bounds net by them as of
+	// the last limitStored, and newestMark is the mark of the row last written.
+	stored                  []storedLine
 	storedLimit, newestMark waxwingwall.Tokens
 
 	// peers are the peers with which tokens were exchanged, in order.
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -406,7 +406,7 @@
 		verdict := b.outOfReach(e.cached.reason)
 		if left, held := b.heldBack(e, worst); held {
 			verdict.Reason = ReasonMarked
-			verdict.RetryAfter = left
+			verdict.RetryAfter = left + b.retryJitter()
 		}
 		return verdict
 	}
--- a/core/escrow/row.go
+++ b/core/escrow/row.go
@@ -56,9 +56,12 @@
 	// Allowance. Builds without marks ignore it.
 	Kept bool `json:"kept,omitempty"`
 
-	// Marked is set if Mark bounds what was committed less what was received while the marks of
-	// the row hold, see ShareRow.Clock. Used is what was used and sent, less what was received, as
-	// the row was sent. Builds without these fields ignore them.
+	// Line bounds what was committed less what was received, see Line and ShareRow.Clock; nil if
+	// the row has none. Builds without it take all of the allowance for spent.
+	Line *Line `json:"line,omitempty"`
+
+	// Marked, Mark and Used are read from rows of builds that had no Line: Mark is the bound until
+	// flatTime has passed since the row was sent, after that there is none.
 	Marked bool               `json:"marked,omitempty"`
 	Mark   waxwingwall.Tokens `json:"mark,omitempty"`
 	Used   waxwingwall.Tokens `json:"used,omitempty"`
@@ -118,7 +121,7 @@
 	Answers int                       `json:"answers,omitempty"`
 
 	// Clock is a time by the table's clock before which the row was not sent; zero if it has no
-	// marks.
+	// lines.
 	Clock RowClock `json:"clock,omitzero"`
 
 	// Entries are in the order of their budgets. A budget without an entry has
@@ -235,7 +238,7 @@
 // valid reports whether a router can have written the row.
 func (r *ShareRow) valid() bool {
 	for _, e := range r.Entries {
-		if !e.valid() || e.Kept && len(r.Keepers) == 0 || e.Marked && !r.Clock.Known() {
+		if !e.valid() || e.Kept && len(r.Keepers) == 0 || (e.Marked || e.Line != nil) && !r.Clock.Known() {
 			return false
 		}
 	}
@@ -259,7 +262,7 @@
 		}
 	}
 	return e.Granted >= -maxTokens && e.Granted <= maxTokens && e.Allowance >= -maxTokens && e.Allowance <= e.Granted &&
-		e.Mark >= -maxTokens && e.Mark <= maxTokens && e.Used >= -maxTokens && e.Used <= maxTokens && (!e.Marked || e.Used <= e.Mark) &&
+		e.Mark >= -maxTokens && e.Mark <= maxTokens && e.Used >= -maxTokens && e.Used <= maxTokens && (!e.Marked || e.Used <= e.Mark) && (e.Line == nil || e.Line.valid()) &&
 		isCount(e.Sendable) && ascending(e.Receipts, func(r Receipt) waxwingwall.Incarnation { return r.Node }, compare)
 }
 
--- a/core/escrow/shard.go
+++ b/core/escrow/shard.go
@@ -85,7 +85,7 @@
 	// may be in force and would not record them.
 	closing, closed, noReceive bool
 
-	// clocked is set if the last write has marks and a clock, and clockedAt is when the last
+	// clocked is set if the last write has lines and a clock, and clockedAt is when the last
 	// such write with an answer was sent.
 	clocked   bool
 	clockedAt time.Time
@@ -128,7 +128,7 @@
 
 // advanceShard advances the waits and writes of a shard after a change.
 func (b *Book) advanceShard(i int) {
-	b.limitStoredMarks(&b.shards[i])
+	b.limitStoredLines(&b.shards[i])
 	b.sendMarks(&b.shards[i])
 	for _, e := range b.shards[i].entries {
 		b.sendPending(e)
