model: lines in the table

The specification of marks has lines instead: a row has a rate as well, and its owner and closer go by the same bound at a time.

--- a/model/clock.pml
+++ b/model/clock.pml
@@ -1,18 +1,19 @@
 /*
- * Marks in the table: the owner of a share writes rows with a mark and a time that the
- * table's clock had reached, stays within the marks of all rows that may be in force
- * until FREE has passed since it sent them, and then uses all of its grant. It dies at any
- * time, and its writes may take effect late or lose their answers. The table may come back
- * from a copy. A closer returns the grant less the mark of the row if the process that
- * came after the owner began less than FREE after the row's time, and nothing otherwise.
- * The property: use and what is returned never exceed the grant.
+ * Lines in the table: the owner of a share writes rows with a line and a time that the
+ * table's clock had reached, and stays below the lines of all rows that may be in force. A
+ * line is a mark until FLAT has passed since the row was sent, and then rises by the rate of
+ * the row. The owner dies at any time, and its writes may take effect late or lose their
+ * answers. The table may come back from a copy. A closer returns the grant less what the line
+ * of the row allows at the time at which the process that came after the owner began, or
+ * nothing if that time is not known in the row's era. The property: use and what is returned
+ * never exceed the grant.
  */
 
-// mutants: FREE_EARLY STAMP_LATE FORGET_PENDING RAISE_BEFORE_ACK PROVE_LATE CLOSE_LIVE
-// mutants: NO_ERA NO_MARK BORN_EARLY
+// mutants: RISE_EARLY STAMP_LATE FORGET_PENDING RAISE_BEFORE_ACK CLOSE_EARLY CLOSE_LIVE
+// mutants: NO_ERA NO_MARK BORN_EARLY NO_RISE NEWEST_RATE
 
-#define GRANT 3
-#define FREE  2   /* time for which a mark holds */
+#define GRANT 4
+#define FLAT  1   /* time for which a line is flat */
 #define END   5   /* of time */
 #define WRITES 2
 #define NONE  0   /* states of a write */
@@ -25,6 +26,7 @@
 typedef Row {
   byte seq;
   byte mark;
+  byte rate;
   byte stamp;
   byte era;
 }
@@ -35,10 +37,12 @@
 
 /* The writes of the owner: the one with an answer last, and one that may take effect. */
 byte ackedMark;
+byte ackedRate;
 byte ackedAt;
 byte ackedSeq;
 byte state;       /* of the write in flight */
 byte mark;
+byte rate;
 byte stamp;
 byte stampEra;
 byte at;
@@ -54,20 +58,26 @@
 byte born;
 byte bornEra;
 
-#ifdef MUTANT_FREE_EARLY
-#define holds(t) (now - (t) < FREE)
+#ifdef MUTANT_RISE_EARLY
+#define rising(t) (now - (t) >= FLAT -> now - (t) - FLAT + 1 : 0)
 #else
-#define holds(t) (now - (t) <= FREE)
+#define rising(t) (now - (t) > FLAT -> now - (t) - FLAT : 0)
 #endif
 #ifdef MUTANT_FORGET_PENDING
 #define pending (state != NONE && waiting)
 #else
 #define pending (state != NONE)
 #endif
+#ifdef MUTANT_NEWEST_RATE
+#define rateOfAcked (pending -> rate : ackedRate)
+#else
+#define rateOfAcked ackedRate
+#endif
+#define below(x, m, r, t) ((x) <= (m) + (r) * rising(t))
 #ifdef MUTANT_RAISE_BEFORE_ACK
-#define limited(x) (pending -> (!holds(at) || (x) <= mark) : (!holds(ackedAt) || (x) <= ackedMark))
+#define limited(x) (pending -> below(x, mark, rate, at) : below(x, ackedMark, ackedRate, ackedAt))
 #else
-#define limited(x) ((!holds(ackedAt) || (x) <= ackedMark) && (!pending || !holds(at) || (x) <= mark))
+#define limited(x) (below(x, ackedMark, rateOfAcked, ackedAt) && (!pending || below(x, mark, rate, at)))
 #endif
 
 proctype Clock() {
@@ -92,6 +102,10 @@
      fi;
      mark = m;
      m = 0;
+     if
+     :: rate = 0
+     :: rate = 1
+     fi;
      at = now;
      stamp = known;
 #ifdef MUTANT_STAMP_LATE
@@ -106,6 +120,7 @@
   /* An answer, or none. */
   :: d_step { !dead && state == DONE ->
      ackedMark = mark;
+     ackedRate = rate;
      ackedAt = at;
      ackedSeq = seq;
      known = now;
@@ -127,6 +142,7 @@
   :: d_step { state == SENT && !closed && seqEra == era ->
      row.seq = seq;
      row.mark = mark;
+     row.rate = rate;
      row.stamp = stamp;
      row.era = stampEra;
      state = DONE }
@@ -134,12 +150,14 @@
      copied = 1;
      copy.seq = row.seq;
      copy.mark = row.mark;
+     copy.rate = row.rate;
      copy.stamp = row.stamp;
      copy.era = row.era }
   :: d_step { copied && era == 0 && !closed ->
      era = 1;
      row.seq = copy.seq;
      row.mark = copy.mark;
+     row.rate = copy.rate;
      row.stamp = copy.stamp;
      row.era = copy.era }
   od
@@ -164,18 +182,29 @@
   :: d_step { begun && dead && !closed ->
 #endif
      keep = GRANT;
-     if
 #ifdef MUTANT_NO_ERA
-     :: born >= row.stamp && born - row.stamp <= FREE && row.seq > 0 -> keep = row.mark
+#define known_end (born >= row.stamp && row.seq > 0)
 #else
-#ifdef MUTANT_PROVE_LATE
-     :: born >= row.stamp && born - row.stamp <= FREE + 1 && row.seq > 0 && row.era == bornEra && row.era == era -> keep = row.mark
+#define known_end (born >= row.stamp && row.seq > 0 && row.era == bornEra && row.era == era)
+#endif
+#ifdef MUTANT_CLOSE_EARLY
+#define passed (born > row.stamp -> born - row.stamp - 1 : 0)
 #else
-     :: born >= row.stamp && born - row.stamp <= FREE && row.seq > 0 && row.era == bornEra && row.era == era -> keep = row.mark
+#define passed (born - row.stamp)
 #endif
+     if
+     :: known_end ->
+#ifdef MUTANT_NO_RISE
+        keep = row.mark
+#else
+        keep = row.mark + row.rate * (passed > FLAT -> passed - FLAT : 0)
 #endif
      :: else
      fi;
+     if
+     :: keep > GRANT -> keep = GRANT
+     :: else
+     fi;
 #ifdef MUTANT_NO_MARK
      keep = 0;
 #endif
