core/edge, core/quarantine: blocked requests stay blocked over restarts

Cause: crashes were counted in memory, and told once, to the peers that lived then. Reports had blocked parts of prompts but no fingerprints, and nothing is told if all routers restart.

Change: notices of blocked requests are in reports, with configurations from peers, and in the rows of the routers that counted crashes and of three others, which all routers follow anyway; a row is deleted only once another one has what it had. Retries are not sent if the runs that have just broken off would be the third crash. A full table drops suspects first. Older builds ignore the new fields. Lines in the log say what was learned from whom, and what was blocked, tried and cleared.

Tests that failed with the ways of learning, the check of unconfirmed runs and the longer retention left out: TestBlockedAfterRestart, TestBlockedStaysInRows, TestRetryOfCrashingRequest, TestTrialOfBlockedRequest.

--- a/core/edge/behind.go
+++ b/core/edge/behind.go
@@ -144,6 +144,7 @@
 func (e *Edge) answerAskNews(to waxwingwall.Incarnation, m AskNews) {
 	n := News{
 		Evacuations: e.evacuationState(),
+		Blocked:     e.crashes.table.List(e.now, maxBlocked, true),
 	}
 	if e.config.version > m.Version {
 		n.Configuration = e.config.configuration
@@ -171,6 +172,7 @@
 	}
 	evacuated, _ := e.newsDate(m, m.Evacuations.Age)
 	e.learnEvacuations(from, m.Evacuations, evacuated)
+	e.learnCrashes(from, "news", m.Blocked)
 	e.applyConfiguration(m.Configuration, "peer")
 	t := &e.endpoints
 	m.Replicas = validReplicas(m.Replicas)
--- a/core/edge/closing.go
+++ b/core/edge/closing.go
@@ -17,10 +17,10 @@
 const markExpiry = 10 * time.Second
 
 // closeTask closes the shares of a dead incarnation. done is set once they are
-// closed.
+// closed, deleted once the deletion of its row was sent.
 type closeTask struct {
-	closer *escrow.Closer
-	done   bool
+	closer        *escrow.Closer
+	done, deleted bool
 }
 
 // closeDead starts to close the shares of dead incarnations.
@@ -198,6 +198,9 @@
 					field("unproven", share.Unproven), field("age", share.Age))
 			}
 			e.log("closed", "", field("node", c.closer.Dead.String()), field("returned", c.closer.Returned))
+		}
+		if c.done && !c.deleted && e.mayDelete(c.closer.Dead) {
+			c.deleted = true
 			e.deleteNode(c.closer.Dead)
 		}
 		if _, listed := e.nodes.rows[c.closer.Dead]; listed || !c.done {
--- a/core/edge/crash.go
+++ b/core/edge/crash.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingwall"
-	"waxwingwall/core/member"
 	"waxwingwall/core/quarantine"
 )
 
@@ -18,6 +17,9 @@
 	// crashRetention is how long crashes are kept.
 	crashRetention = time.Minute
 
+	// blockedRetention is how long a blocked request is kept that does not come any more.
+	blockedRetention = 24 * time.Hour
+
 	// crashConfirmTime is the time after a broken run within which its endpoint
 	// must be found unreachable, removed or replaced for the run to count as a
 	// crash.
@@ -39,6 +41,8 @@
 	table   quarantine.Table
 	parts   quarantine.Parts
 	pending []brokenRun
+
+	blockedRow
 }
 
 // brokenRun is a run that ended with a broken connection.
@@ -139,6 +143,7 @@
 		}
 		if n, counted := e.crashes.table.RecordCrash(e.now, e.Self, b.fingerprint, b.crash.Endpoint); counted {
 			m.Notices = append(m.Notices, n)
+			e.crashes.rowStale = true
 			e.log("crash_counted", "", field("fingerprint", n.Fingerprint),
 				field("endpoint", b.crash.Endpoint), field("crashes", e.crashes.table.Crashes(e.now, b.fingerprint)))
 		}
@@ -182,14 +187,14 @@
 // crashed endpoints. A request with a blocked part may be tried if this router is the
 // one to do so.
 func (e *Edge) quarantined(r *request) bool {
-	if e.crashes.table.Blocked(e.now, r.call.Fingerprint) {
+	if e.blocked(r) {
 		return true
 	}
 	part, blocked := e.crashes.parts.Blocked(sharedParts(r.call))
 	if !blocked {
 		return false
 	}
-	if e.triesPart(part) && e.crashes.parts.Trial(e.now, part) {
+	if e.triesFirst(part) && e.crashes.parts.Trial(e.now, part) {
 		e.log("part_tried", r.call.ID, field("part", fmt.Sprintf("%x", part)), field("crashes", e.crashes.parts.Crashes(part)))
 		return false
 	}
@@ -198,14 +203,24 @@
 	return true
 }
 
-// triesPart reports whether this router tries a blocked part: the first live one in an
-// order that all routers agree on.
-func (e *Edge) triesPart(part uint64) bool {
+// triesFirst reports whether this router tries a blocked request or part: the first live one in
+// an order that all routers agree on.
+func (e *Edge) triesFirst(id uint64) bool {
+	return e.turn(id) == 0
+}
+
+// turn returns how many live routers come before this one in an order by ID that all routers
+// agree on.
+func (e *Edge) turn(id uint64) int {
 	order := func(vm waxwingwall.VM) uint64 {
-		return xxhash.Sum64String(fmt.Sprintf("%x %s", part, vm))
+		return xxhash.Sum64String(fmt.Sprintf("%x %s", id, vm))
 	}
 	own := order(e.Self.VM)
-	return !slices.ContainsFunc(e.view.Peers(e.now), func(p member.Peer) bool {
-		return p.Alive && order(p.Incarnation.VM) < own
-	})
+	earlier := 0
+	for _, p := range e.view.Peers(e.now) {
+		if p.Alive && order(p.Incarnation.VM) < own {
+			earlier++
+		}
+	}
+	return earlier
 }
--- a/core/edge/drain.go
+++ b/core/edge/drain.go
@@ -152,7 +152,7 @@
 	if !e.book.Drained() && !timedOut {
 		return
 	}
-	if e.book.Drained() && e.nodes.registered {
+	if e.book.Drained() && e.nodes.registered && e.mayDelete(e.Self) {
 		e.nodes.registered = false
 		e.deleteNode(e.Self)
 	}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -219,7 +219,8 @@
 		durations:    map[string]*duration{},
 		crashes: crashTracker{
 			table: quarantine.Table{
-				Retention: crashRetention,
+				Retention:        crashRetention,
+				BlockedRetention: blockedRetention,
 			},
 			parts: quarantine.Parts{
 				Retention: crashRetention,
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -107,6 +107,10 @@
 	// Suspects are the blocked parts of prompts, for peers that missed the crashes.
 	Suspects []quarantine.Suspect
 
+	// Blocked are the notices of requests that are blocked, or were, for peers that missed the
+	// crashes; nil from earlier versions of this program.
+	Blocked []quarantine.Notice
+
 	// Evacuations are what the sender knows of failure domains that are to be empty.
 	Evacuations EvacuationState
 
@@ -124,7 +128,7 @@
 
 // Size returns the approximate size of the report in bytes.
 func (m Report) Size() int {
-	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects)) + m.Evacuations.size() + m.queuesSize()
+	return messageBytes + entryBytes*(len(m.Loads)+len(m.Troubles)+len(m.Cuts)+len(m.Departures)+len(m.Reads)+len(m.Suspects)+len(m.Blocked)) + m.Evacuations.size() + m.queuesSize()
 }
 
 // queuesSize returns the approximate size of the reports of queues in bytes.
@@ -174,12 +178,15 @@
 	// Evacuations are what the sender knows of failure domains that are to be empty. It goes
 	// with each configuration, so that no router sends by that alone.
 	Evacuations EvacuationState
+
+	// Blocked is that of a Report.
+	Blocked []quarantine.Notice
 }
 
 // Size returns the approximate size of the news in bytes.
 func (m News) Size() int {
 	c := &m.Configuration
-	return messageBytes + 4*entryBytes*(len(m.Replicas)+len(c.Routes)+len(c.Services)+len(c.Accounts)) + m.Evacuations.size()
+	return messageBytes + 4*entryBytes*(len(m.Replicas)+len(c.Routes)+len(c.Services)+len(c.Accounts)) + entryBytes*len(m.Blocked) + m.Evacuations.size()
 }
 
 // Departures reports leaving endpoints without waiting for the next Report.
@@ -360,6 +367,7 @@
 		Departures:     append(e.announcements.list(e.now), e.departures.list(e.now)...),
 		Reads:          e.gossip.pendingReads,
 		Suspects:       e.crashes.parts.List(e.now),
+		Blocked:        e.crashes.table.List(e.now, maxBlocked, true),
 		Evacuations:    e.evacuationState(),
 		Queues:         e.queueReports(),
 	}
@@ -445,6 +453,7 @@
 		}
 		e.handleDepartures(m.Departures)
 		e.mergeSuspects(m.Suspects)
+		e.learnCrashes(ev.From, "report", m.Blocked)
 		e.askNews()
 	case Departures:
 		e.handleDepartures(m.Departures)
@@ -467,9 +476,7 @@
 	case StreamAnswer:
 		e.handleStreamAnswer(m)
 	case Crashes:
-		for _, n := range m.Notices {
-			e.crashes.table.Merge(e.now, n)
-		}
+		e.learnCrashes(ev.From, "notice", m.Notices)
 		e.mergeSuspects(m.Suspects)
 	}
 }
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -15,6 +15,7 @@
 	"waxwingwall/core/effect"
 	"waxwingwall/core/escrow"
 	"waxwingwall/core/member"
+	"waxwingwall/core/quarantine"
 )
 
 const (
@@ -90,6 +91,9 @@
 	// maxRowBuilds of each service.
 	Builds map[waxwingwall.Model][]build `json:"builds,omitempty"`
 
+	// Blocked are the notices of requests that are blocked, since they crashed endpoints.
+	Blocked []quarantine.Notice `json:"blocked,omitempty"`
+
 	// Era is the StoreEra.MinVersion in which the router has written all of its rows.
 	Era int64 `json:"era,omitempty"`
 
@@ -291,6 +295,7 @@
 	}
 	if n.version != row.Version {
 		n.changedAt = e.now
+		e.learnCrashes(i, "row", content.Blocked)
 	}
 	n.row = content
 	n.version = row.Version
@@ -314,6 +319,8 @@
 		return content, fmt.Errorf("invalid link speed %d", content.LinkMbps)
 	case content.Era < 0 || content.PeersEra < 0:
 		return content, fmt.Errorf("invalid era: %d, %d", content.Era, content.PeersEra)
+	case len(content.Blocked) > maxBlockedNotices:
+		return content, fmt.Errorf("%d notices of blocked requests", len(content.Blocked))
 	case !content.Clock.Valid():
 		return content, fmt.Errorf("invalid clock: %+v", content.Clock)
 	}
@@ -433,7 +440,8 @@
 		t.pendingCall = 0
 	}
 	touch := t.registered && t.peerUnresponsive && e.now.Sub(t.touchedAt) >= e.touchInterval()
-	outdated := t.written != e.eras() || e.births.outdated() || e.versions.rowOutdated(e.now)
+	e.updateBlockedRow()
+	outdated := t.written != e.eras() || e.births.outdated() || e.versions.rowOutdated(e.now) || e.crashes.rowOutdated()
 	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch && !outdated {
 		return
 	}
@@ -465,6 +473,7 @@
 		LinkMbps: e.info.LinkMbps,
 		Touch:    t.touch,
 		Builds:   e.versions.row,
+		Blocked:  e.crashes.row,
 		Era:      e.eras().own,
 		PeersEra: e.eras().peers,
 		Clock:    e.births.clock(),
@@ -477,6 +486,7 @@
 	t.pendingEras = e.eras()
 	e.births.pending = e.births.clock().Known()
 	e.versions.pending = e.versions.row
+	e.crashes.pendingRow = e.crashes.row
 	t.calledAt = e.now
 	e.emit(effect.Transact{
 		ID: effect.ID{
@@ -504,6 +514,7 @@
 	t.written = t.pendingEras
 	e.births.written = e.births.pending
 	e.versions.written = e.versions.pending
+	e.crashes.writtenRow = e.crashes.pendingRow
 	if !t.registered {
 		t.registered = true
 		e.limiterStale = true
@@ -537,6 +548,7 @@
 	e.gossip.targets = nil
 	e.limiterStale = true
 	e.versions.ownersStale = true
+	e.crashes.rowStale = true
 }
 
 // logPeerChange logs a change of the state of a peer.
--- a/core/edge/request.go
+++ b/core/edge/request.go
@@ -59,6 +59,9 @@
 	book     *escrow.Book
 	waiting  bool
 
+	// trial is set if requests like it are blocked and this one is tried.
+	trial bool
+
 	// attempt counts the dispatches. runs counts those in which an endpoint may
 	// have run part of the request, declined counts those in which none did.
 	attempt  int
@@ -447,7 +450,7 @@
 		return "stopping"
 	case r.deadline.Sub(e.now) < minAttemptTime:
 		return "deadline"
-	case e.quarantined(r):
+	case e.quarantined(r) || e.blocksRetry(r):
 		return "quarantined"
 	}
 	switch ev.Result {
@@ -583,6 +586,7 @@
 	e.recordDuration(r)
 	if ev.Status < http.StatusMultipleChoices {
 		e.clearParts(r)
+		e.clearBlocked(r)
 	}
 	reserved := r.reserved
 	used, _ := e.charge(r)
