core/edge, core/quarantine: notices of blocked requests are limited by their number

A limit by requests let a message and a row grow with the routers that counted the crashes of each. A router that goes on as a newer incarnation writes its notices into the row of that one too, and forgets adopted requests that are no longer blocked.

--- a/core/edge/behind.go
+++ b/core/edge/behind.go
@@ -144,7 +144,7 @@
 func (e *Edge) answerAskNews(to waxwingwall.Incarnation, m AskNews) {
 	n := News{
 		Evacuations: e.evacuationState(),
-		Blocked:     e.crashes.table.List(e.now, maxBlocked, true),
+		Blocked:     e.crashes.table.List(e.now, maxBlockedNotices, true),
 	}
 	if e.config.version > m.Version {
 		n.Configuration = e.config.configuration
--- a/core/edge/blocked.go
+++ b/core/edge/blocked.go
@@ -15,9 +15,7 @@
 // gone are deleted only once another row has what they had.
 
 const (
-	// maxBlocked limits the blocked requests in a message and in a router's row, and
-	// maxBlockedNotices their notices.
-	maxBlocked        = 32
+	// maxBlockedNotices limits the notices of blocked requests in a message and in a router's row.
 	maxBlockedNotices = 256
 
 	// blockedCarriers is the number of routers of which the rows have a blocked request, besides
@@ -118,7 +116,12 @@
 	c.rowStale = false
 	var row []quarantine.Notice
 	own := map[uint64]bool{}
-	listed := c.table.List(e.now, maxBlocked, false)
+	for fp := range c.adopted {
+		if !c.table.Blocked(e.now, fp) {
+			delete(c.adopted, fp)
+		}
+	}
+	listed := c.table.List(e.now, maxBlockedNotices, false)
 	for _, n := range listed {
 		if n.Reporter == e.Self {
 			own[n.Fingerprint] = true
@@ -129,7 +132,6 @@
 			row = append(row, n)
 		}
 	}
-	row = row[:min(len(row), maxBlockedNotices)]
 	slices.SortFunc(row, func(a, b quarantine.Notice) int {
 		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), strings.Compare(a.Reporter.String(), b.Reporter.String()))
 	})
@@ -141,6 +143,13 @@
 	return !slices.Equal(b.row, b.writtenRow)
 }
 
+// renewed notes that the router goes on as a newer incarnation, of which the row is not written yet.
+func (b *blockedRow) renewed() {
+	b.pendingRow = nil
+	b.writtenRow = nil
+	b.rowStale = true
+}
+
 // mayDelete reports whether the row of a router that is gone may be deleted: all blocked requests
 // in it are in the row of another one. What is not is adopted for the row of this router.
 func (e *Edge) mayDelete(gone waxwingwall.Incarnation) bool {
--- a/core/edge/blocked_test.go
+++ b/core/edge/blocked_test.go
@@ -84,7 +84,7 @@
 	h.step(effect.Received{From: waxwingwall.Incarnation{VM: "vm-9", Boot: 1}, Message: AskNews{Version: 1}})
 	news := News{
 		Configuration: testConfiguration(2),
-		Blocked:       h.edge.crashes.table.List(h.now, maxBlocked, true),
+		Blocked:       h.edge.crashes.table.List(h.now, maxBlockedNotices, true),
 	}
 	for name, learn := range map[string]func(*harness){
 		"from the row of a router that is gone": func(h *harness) { h.step(Nodes{Snapshot: true, Rows: []waxwingwall.Row{row}}) },
@@ -224,7 +224,7 @@
 	}
 	peer := newHarness(t)
 	peer.block()
-	notices := peer.edge.crashes.table.List(peer.now, maxBlocked, false)
+	notices := peer.edge.crashes.table.List(peer.now, maxBlockedNotices, false)
 	for i := range notices {
 		notices[i].Cleared = notices[i].Crashes
 	}
--- a/core/edge/gossip.go
+++ b/core/edge/gossip.go
@@ -367,7 +367,7 @@
 		Departures:     append(e.announcements.list(e.now), e.departures.list(e.now)...),
 		Reads:          e.gossip.pendingReads,
 		Suspects:       e.crashes.parts.List(e.now),
-		Blocked:        e.crashes.table.List(e.now, maxBlocked, true),
+		Blocked:        e.crashes.table.List(e.now, maxBlockedNotices, true),
 		Evacuations:    e.evacuationState(),
 		Queues:         e.queueReports(),
 	}
--- a/core/edge/news.go
+++ b/core/edge/news.go
@@ -34,6 +34,9 @@
 	if m.Asked < 0 || !isCount(m.Age, maxDuration) {
 		return fmt.Errorf("invalid time %v or age %v", m.Asked, m.Age)
 	}
+	if len(m.Blocked) > maxBlockedNotices {
+		return fmt.Errorf("%d notices of blocked requests", len(m.Blocked))
+	}
 	if !m.Evacuations.valid() {
 		return fmt.Errorf("invalid evacuations of revision %d", m.Evacuations.Revision)
 	}
@@ -98,5 +101,5 @@
 			return false
 		}
 	}
-	return len(m.Queues) <= maxQueues && isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && isCount(m.EndpointsAge, maxDuration) && len(m.Reads) <= maxReads && m.Evacuations.valid()
+	return len(m.Queues) <= maxQueues && isCount(m.Version, maxVersion) && isCount(m.Revision, maxRevision) && isCount(m.EndpointsAge, maxDuration) && len(m.Reads) <= maxReads && len(m.Blocked) <= maxBlockedNotices && m.Evacuations.valid()
 }
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -409,6 +409,7 @@
 	before := e.Self
 	e.births.renewed = true
 	e.births.written = false
+	e.crashes.renewed()
 	for _, r := range e.requests {
 		// The old book's reservations are covered by its allowance, which the router
 		// that closed it counts as spent.
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -201,8 +201,9 @@
 	return slices.Clone(e.notices)
 }
 
-// List returns the notices of up to limit fingerprints that are blocked, with the latest ones
-// first, and of those that were cleared as well if cleared is set.
+// List returns up to limit notices: those of fingerprints that are blocked, with the latest ones
+// first, and of those that were cleared as well if cleared is set. It has all notices of a
+// fingerprint or none.
 func (t *Table) List(now time.Time, limit int, cleared bool) []Notice {
 	var listed []*entry
 	for _, e := range t.entries {
@@ -214,8 +215,10 @@
 		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.notices[0].Fingerprint, b.notices[0].Fingerprint))
 	})
 	var notices []Notice
-	for _, e := range listed[:min(len(listed), limit)] {
-		notices = append(notices, e.notices...)
+	for _, e := range listed {
+		if len(notices)+len(e.notices) <= limit {
+			notices = append(notices, e.notices...)
+		}
 	}
 	return notices
 }
