core/edge: callers are told to come back when the store is expected, if a line takes longer

A request that the line of a share allows only after 15 s got a Retry-After of 15 s, though the outage was expected to end after 2 s: the store then pays at once. The sooner of both is told now. TestRetryAfterBesideLine failed before with 15 s.

--- a/core/edge/admission.go
+++ b/core/edge/admission.go
@@ -135,8 +135,8 @@
 	}
 }
 
-// refuseHeldBack refuses a request whose time ends before marks in the store no longer hold back
-// what could pay for it, and reports whether it did.
+// refuseHeldBack refuses a request whose time ends before the lines in the store allow what could
+// pay for it, and reports whether it did.
 func (e *Edge) refuseHeldBack(r *request) bool {
 	if !e.book.TableAway() {
 		return false
@@ -166,7 +166,8 @@
 	case escrow.ReasonTableUnreachable:
 		return notRunProblem(code, message, e.outageRetryAfter(r.rank))
 	case escrow.ReasonMarked:
-		return notRunProblem(code, message, v.RetryAfter+e.rankDelay(r.rank))
+		// Either the line in the store allows it, or the store is back.
+		return notRunProblem(code, message, min(v.RetryAfter, e.outages.left(e.now))+e.rankDelay(r.rank))
 	case escrow.ReasonHoldersSilent:
 		return notRunProblem(code, message, e.closedIn(e.book.SilentHolders(r.budget))+e.rankDelay(r.rank))
 	}
--- a/core/edge/outage_test.go
+++ b/core/edge/outage_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingwall"
+	"waxwingwall/core/escrow"
 )
 
 // TestOutageLeft guards against callers of whom the only other try falls into the same outage:
@@ -63,3 +64,24 @@
 		before = last
 	}
 }
+
+// TestRetryAfterBesideLine guards against callers that are told to stay away until the line of a share
+// allows their request, though the store is expected back long before.
+func TestRetryAfterBesideLine(t *testing.T) {
+	h := newHarness(t)
+	for _, c := range []struct {
+		line, want time.Duration
+	}{
+		{500 * time.Millisecond, 500 * time.Millisecond},
+		{15 * time.Second, minOutageLeft},
+	} {
+		p := h.edge.outOfReachProblem(&request{}, escrow.Verdict{
+			Kind:       escrow.OutOfReach,
+			Reason:     escrow.ReasonMarked,
+			RetryAfter: c.line,
+		})
+		if p.RetryAfter < c.want || p.RetryAfter > c.want+outageRankStep {
+			t.Errorf("a line that allows it after %s: Retry-After %s, want %s", c.line, p.RetryAfter, c.want)
+		}
+	}
+}
--- a/core/escrow/clock.go
+++ b/core/escrow/clock.go
@@ -268,8 +268,8 @@
 	return held && left <= flatTime
 }
 
-// HeldBack reports whether requests can be paid for together, but only once lines in the table
-// allow it, and when that is expected, with jitter. The time is maxLineTime if it is never.
+// HeldBack reports whether a request can be paid for, but only once lines in the table allow it, and
+// when that is, with jitter. The time is at least maxLineTime if it is never.
 func (b *Book) HeldBack(now time.Time, budget waxwingwall.Budget, worst waxwingwall.Tokens) (time.Duration, bool) {
 	b.now = now
 	e, ok := b.entries[budget]
@@ -281,8 +281,8 @@
 	return left + b.retryJitter(), held
 }
 
-// heldBack reports whether requests can be paid for together, but not within the lines of the rows
-// in force, and how long that lasts.
+// heldBack reports whether a request can be paid for, but not within the lines of the rows in force,
+// and how long that lasts.
 func (b *Book) heldBack(e *entry, worst waxwingwall.Tokens) (time.Duration, bool) {
 	if e.storedLimit-e.net() >= worst || e.rowLimit()-e.net() < worst {
 		return 0, false
