core/escrow: keepers are asked for a share whose mark in the table is too old

Since closers took the age of a row for proof, they did not ask the keepers of a share of an older build whose mark in the table no longer held, and all that it held counted as spent. They ask now for each share that no line and no mark in the table bounds.

--- a/core/escrow/clock_test.go
+++ b/core/escrow/clock_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// TestClockedNeverOverspent checks that closing by marks in the table returns nothing that was
+// TestClockedNeverOverspent checks that closing by lines in the table returns nothing that was
 // spent.
 func TestClockedNeverOverspent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { checkClocked(t, false) })
@@ -307,6 +307,35 @@
 	}
 }
 
+// TestKeepersOfLateMark guards against a share of an older build that is not closed by its keepers'
+// marks, as the mark in the table is there but too old.
+func TestKeepersOfLateMark(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		entry ShareEntry
+		after time.Duration
+		want  bool
+	}{
+		{"in time", ShareEntry{Kept: true, Marked: true}, time.Second, false},
+		{"late", ShareEntry{Kept: true, Marked: true}, 4 * time.Second, true},
+		{"without keepers", ShareEntry{Marked: true}, 4 * time.Second, false},
+		{"with a line", ShareEntry{Kept: true, Line: &Line{}}, 4 * time.Second, false},
+		{"with neither", ShareEntry{Kept: true}, time.Second, true},
+	} {
+		row := RowClock{Ms: 10_000, Day: 50_000}
+		ended := RowClock{Ms: 10_000 + c.after.Milliseconds(), Day: 50_000 + c.after.Milliseconds()}
+		closer := NewCloser(waxwingwall.Incarnation{VM: "a", Boot: 1}, nil, WithEnded(), WithLinesInTable(ended))
+		closer.readAt = ended
+		closer.content = ShareRow{
+			Clock:   row,
+			Answers: 1,
+		}
+		if got := closer.needsSeal([]ShareEntry{c.entry}); got != c.want {
+			t.Errorf("%s: asks keepers %v", c.name, got)
+		}
+	}
+}
+
 // TestMarksWithoutAnswer guards against tokens that are spent beyond the mark of a row that may be
 // in force: one that a write without an answer should have replaced, and one that it has.
 func TestMarksWithoutAnswer(t *testing.T) {
--- a/core/escrow/closer.go
+++ b/core/escrow/closer.go
@@ -315,15 +315,11 @@
 
 // needsSeal reports whether the marks of a batch are not yet known, and may be.
 func (c *Closer) needsSeal(batch []ShareEntry) bool {
-	return c.ended && !c.unanswered && !c.proven() && slices.ContainsFunc(batch, func(e ShareEntry) bool { return e.Kept }) &&
-		len(c.keeperAnswers()) < c.content.Answers
-}
-
-// proven reports whether it is known how long the process may have run after it sent the row last
-// read.
-func (c *Closer) proven() bool {
-	_, unproven := c.age()
-	return unproven == ""
+	unknown := slices.ContainsFunc(batch, func(e ShareEntry) bool {
+		_, _, unproven := c.line(e)
+		return e.Kept && unproven != ""
+	})
+	return c.ended && !c.unanswered && unknown && len(c.keeperAnswers()) < c.content.Answers
 }
 
 // age returns how long the process may have run after it sent the row last read, or why that is not
