--- a/core/edge/ended.go
+++ b/core/edge/ended.go
@@ -75,8 +75,8 @@
 	return earliest
 }
 
-// linesInTable returns the option that closes the shares of a dead incarnation by marks in the
-// table, if it is proven when it had ended.
+// linesInTable returns the option that closes the shares of a dead incarnation by the lines in the
+// table, if it is known by when its process had ended.
 func (e *Edge) linesInTable(dead waxwingwall.Incarnation) []escrow.CloserOption {
 	if dead.VM == e.Self.VM && e.nodes.address(dead) == e.info.Peers {
 		// This process runs, or has run itself as that incarnation.
--- a/core/escrow/dump.go
+++ b/core/escrow/dump.go
@@ -28,7 +28,7 @@
 	Asks   int                `json:"asks"`
 	Passed waxwingwall.Tokens `json:"passed"`
 
-	// Marks counts the marks sent to keepers, Clocked the writes with marks in the table.
+	// Marks counts the marks sent to keepers, Clocked the writes with lines in the table.
 	Marks   int `json:"marks"`
 	Clocked int `json:"clocked"`
 
--- a/core/escrow/escrow.go
+++ b/core/escrow/escrow.go
@@ -178,7 +178,7 @@
 // known to be closed: their tokens may come back.
 const ReasonHoldersSilent = "holders_silent"
 
-// ReasonMarked is the reason of a verdict reached while marks in the table hold back what could
+// ReasonMarked is the reason of a verdict reached while lines in the table hold back what could
 // pay; they do so until RetryAfter at most.
 const ReasonMarked = "marked"
 
--- a/core/escrow/pacing.go
+++ b/core/escrow/pacing.go
@@ -99,7 +99,7 @@
 	evenCutoffPercent = 8
 )
 
-// narrow is held if nodes that die lose what they hold, wide while marks in the table bound what
+// narrow is held if nodes that die lose what they hold, wide while lines in the table bound what
 // they lose.
 var (
 	narrow = holding{
--- a/core/escrow/successor_test.go
+++ b/core/escrow/successor_test.go
@@ -96,7 +96,7 @@
 	}
 }
 
-// TestSucceededNeverOverspent checks that marks in the table return nothing that was spent, however
+// TestSucceededNeverOverspent checks that lines in the table return nothing that was spent, however
 // late the writes of a dead process take effect and whatever its clock did.
 func TestSucceededNeverOverspent(t *testing.T) {
 	rapid.Check(t, checkSucceeded)
