--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -141,6 +141,7 @@
 	gossip       gossipState
 	listed       listing
 	link         link
+	overload     overload
 	reach        reach
 	departures   departures
 	evacuations  evacuations
@@ -333,6 +334,8 @@
 		e.stepComponents(ev)
 	case Dialed:
 		e.handleDialed(ev)
+	case LinkAsked:
+		e.handleLinkAsked(ev)
 	case TunnelProbed:
 		e.handleTunnelProbed(ev)
 	case effect.Tick:
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -14,7 +14,10 @@
 // A Limiter does no I/O and reads no clock. It is not safe for concurrent use.
 package intake
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// maxDelay is the delay of the modelled queue from which requests are refused.
@@ -31,6 +34,9 @@
 	// maxRetryAfter limits how long refused callers are asked to wait.
 	maxRetryAfter = 2 * time.Second
 
+	// askedTime is the time constant of Limiter.Asked.
+	askedTime = 300 * time.Millisecond
+
 	// bytesPerMegabit converts the speed of a link.
 	bytesPerMegabit = 1e6 / 8
 )
@@ -45,12 +51,20 @@
 	// both as of at.
 	backlog, deferred float64
 	at                time.Time
+
+	// linkBytesPerSecond is the whole speed of the link. asked is the sum of all bytes that
+	// callers asked the link to carry, each of which has faded since by askedTime, as of
+	// askedAt.
+	linkBytesPerSecond float64
+	asked              float64
+	askedAt            time.Time
 }
 
 // New returns the Limiter of a link with a speed in Mbit/s; zero means no limit.
 func New(mbps int) *Limiter {
 	return &Limiter{
-		BytesPerSecond: usablePart * bytesPerMegabit * float64(mbps),
+		BytesPerSecond:     usablePart * bytesPerMegabit * float64(mbps),
+		linkBytesPerSecond: bytesPerMegabit * float64(mbps),
 	}
 }
 
@@ -62,6 +76,7 @@
 	}
 	l.drain(now)
 	size := float64(length + requestOverhead)
+	l.ask(now, size)
 	if l.delay(l.backlog) < maxDelay {
 		l.backlog += size
 		return 0, true
@@ -78,9 +93,28 @@
 		return
 	}
 	l.drain(now)
+	l.ask(now, float64(bytes))
 	l.backlog += float64(bytes)
 }
 
+// Asked returns what callers ask of the link as a part of its speed: the requests that
+// arrive, accepted or not, and the answers. The bodies of refused requests pass the link too, as
+// they are under way before the refusal. It is 0 if the speed is not known.
+func (l *Limiter) Asked(now time.Time) float64 {
+	if l.linkBytesPerSecond == 0 {
+		return 0
+	}
+	l.ask(now, 0)
+	return l.asked / (l.linkBytesPerSecond * askedTime.Seconds())
+}
+
+// ask adds bytes to those asked for.
+func (l *Limiter) ask(now time.Time, bytes float64) {
+	l.asked *= math.Exp(-max(now.Sub(l.askedAt), 0).Seconds() / askedTime.Seconds())
+	l.asked += bytes
+	l.askedAt = now
+}
+
 // drain removes what the link has carried since the last call. Deferred callers
 // return while it carries, so both drain together.
 func (l *Limiter) drain(now time.Time) {
--- a/relay/control.go
+++ b/relay/control.go
@@ -37,6 +37,9 @@
 			r.runJob(j)
 		case <-ticker.C:
 			now := time.Now()
+			r.step(now, edge.LinkAsked{
+				Part: r.link.asked(),
+			})
 			r.step(now, effect.Tick{})
 			r.publish(now)
 		case <-sweeper.C:
--- a/relay/head.go
+++ b/relay/head.go
@@ -50,6 +50,7 @@
 	if err != nil {
 		return problem(http.StatusBadRequest, "bad_request", err.Error())
 	}
+	p.relay.logFirstRequest(p)
 	if limits.HeaderBytes > 0 && headerBytes(p.r) > limits.HeaderBytes {
 		return problem(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "the head is over the limit")
 	}
--- a/relay/intake.go
+++ b/relay/intake.go
@@ -61,3 +61,10 @@
 	defer l.mu.Unlock()
 	l.limiter.Add(time.Now(), bytes)
 }
+
+// asked returns intake.Limiter.Asked.
+func (l *link) asked() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limiter.Asked(time.Now())
+}
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -41,6 +41,7 @@
 	queueWait      metric.Float64Counter
 	omittedLines   metric.Int64Counter
 	openRequests   metric.Int64UpDownCounter
+	callerConns    metric.Int64Counter
 	duration       metric.Float64Histogram
 	firstEvent     metric.Float64Histogram
 	storeDuration  metric.Float64Histogram
@@ -146,6 +147,9 @@
 	if m.openRequests, err = meter.Int64UpDownCounter("waxwingwall.edge.requests_open", metric.WithDescription("Requests that have not ended.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if m.callerConns, err = meter.Int64Counter("waxwingwall.edge.caller_connections", metric.WithDescription("Connections on which a caller sent a request, by whether the router lists itself to callers.")); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	if m.duration, err = meter.Float64Histogram("waxwingwall.edge.duration", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its end, by code and rank.")); err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -169,6 +173,9 @@
 		m.accountTurns.Add(context.Background(), 0, metric.WithAttributes(attribute.String("result", result), attribute.String("account", "others")))
 	}
 	m.omittedLines.Add(context.Background(), 0)
+	for _, listed := range []bool{false, true} {
+		m.callerConns.Add(context.Background(), 0, metric.WithAttributes(attribute.Bool("listed", listed)))
+	}
 	m.addClosedTokens(func(string) int64 { return 0 }, "none")
 	return m, nil
 }
@@ -183,6 +190,16 @@
 	return err
 }
 
+// observeAsked adds the instrument of what callers ask of the VM's link.
+func (m *metrics) observeAsked(asked func() float64) error {
+	observe := func(_ context.Context, o metric.Float64Observer) error {
+		o.Observe(asked())
+		return nil
+	}
+	_, err := m.meter.Float64ObservableGauge("waxwingwall.edge.link_asked", metric.WithFloat64Callback(observe), metric.WithDescription("Part of the link's speed that callers ask for, refused requests included."))
+	return err
+}
+
 // observeLinks adds the instruments of the links to peers.
 func observeLinks(meter metric.Meter, links func() peer.LinksStats) error {
 	connections, err := meter.Int64ObservableGauge("waxwingwall.edge.peer_connections", metric.WithDescription("Open connections to peers."))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,6 +133,7 @@
 	// counts the requests that were read and have no whole answer yet.
 	callers       *http.Server
 	callerConns   callerConns
+	callerLog     callerLog
 	wholeRequests atomic.Int64
 
 	// inbox and updates are the queues of the control goroutine.
@@ -223,7 +224,7 @@
 		codec:    platform.Headers{},
 		requests: map[uint64]*proxyRequest{},
 		callerConns: callerConns{
-			states: map[net.Conn]http.ConnState{},
+			states: map[net.Conn]callerConn{},
 		},
 		link: link{
 			limiter: intake.New(s.LinkMbps),
@@ -261,6 +262,9 @@
 	if err = r.metrics.observeCold(func() int { return len(r.sharedState.Load().cold) }); err != nil {
 		return trace.Wrap(err)
 	}
+	if err = r.metrics.observeAsked(r.link.asked); err != nil {
+		return trace.Wrap(err)
+	}
 	var cleanup func()
 	r.store, cleanup = platform.New(
 		r.settings.Store,
@@ -356,7 +360,7 @@
 		},
 		{
 			addr:    r.settings.Directory,
-			handler: platform.Directory(r.callerAddresses),
+			handler: platform.Directory(r.callerAddresses, r.logLookup),
 		},
 		{
 			addr:    r.settings.Metrics,
