--- a/core/edge/address.go
+++ b/core/edge/address.go
@@ -26,6 +26,9 @@
 	// counts as slow; running counts the router's requests in flight.
 	link, running int
 
+	// out is set if the router is out of rotation.
+	out bool
+
 	// cut is set if the router reaches a service only through peers, stale if its list of
 	// endpoints is too old.
 	cut, stale bool
@@ -56,6 +59,7 @@
 // selectAddresses returns the addresses of the routers that callers should use.
 func (e *Edge) selectAddresses(now time.Time) []netip.AddrPort {
 	all := withoutCut(e.candidates(now))
+	all = filterCandidates(all, func(c candidate) bool { return !c.out })
 	all = filterCandidates(all, func(c candidate) bool { return !c.stale })
 	fastest := 0
 	for _, c := range all {
@@ -121,6 +125,7 @@
 			address: p.Callers,
 			link:    e.peerLink(p.Incarnation),
 			running: e.peerRunning(p.Incarnation),
+			out:     e.peerOut(p.Incarnation),
 			cut:     len(e.gossip.reports[p.Incarnation].Cuts) > 0,
 			stale:   e.peerStale(e.gossip.reports[p.Incarnation]),
 		}
--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -142,6 +142,7 @@
 	listed       listing
 	link         link
 	overload     overload
+	rotation     rotation
 	reach        reach
 	departures   departures
 	evacuations  evacuations
@@ -353,6 +354,7 @@
 
 // tick runs the systems that depend on time alone.
 func (e *Edge) tick() {
+	e.rotationStep()
 	e.register()
 	e.restoreStep()
 	e.closeDead()
@@ -447,7 +449,7 @@
 
 // Ready reports whether the router accepts new callers.
 func (e *Edge) Ready() bool {
-	return e.config.version > 0 && e.drainStart.IsZero()
+	return e.config.version > 0 && e.drainStart.IsZero() && !e.rotation.out
 }
 
 // Draining reports whether a graceful stop has begun.
--- a/core/edge/node.go
+++ b/core/edge/node.go
@@ -104,6 +104,9 @@
 	// Clock is the store's clock in the first answer to the process: those before it on the VM
 	// had ended by then. It is zero if that is not known.
 	Clock escrow.RowClock `json:"clock,omitzero"`
+
+	// Out is set while the router is out of rotation.
+	Out bool `json:"out,omitempty"`
 }
 
 // node is a router according to its row.
@@ -253,6 +256,7 @@
 	}
 	if firstLoad {
 		e.adoptBuilds()
+		e.adoptRotation()
 	}
 	e.limiterStale = true
 	e.updateMembers()
@@ -287,6 +291,9 @@
 	}
 	n := t.rows[i]
 	moved := n == nil || n.row.Peers != content.Peers || n.row.Domain != content.Domain
+	if n != nil && content.Out && !n.row.Out && content.Domain == e.info.Domain {
+		e.rotation.peerLeftAt = e.now
+	}
 	if n == nil {
 		n = &node{
 			firstSeen: e.now,
@@ -442,7 +449,8 @@
 	}
 	touch := t.registered && t.peerUnresponsive && e.now.Sub(t.touchedAt) >= e.touchInterval()
 	e.updateBlockedRow()
-	outdated := t.written != e.eras() || e.births.outdated() || e.versions.rowOutdated(e.now) || e.crashes.rowOutdated()
+	outdated := t.written != e.eras() || e.births.outdated() || e.versions.rowOutdated(e.now) || e.crashes.rowOutdated() ||
+		e.rotation.writtenOut != e.rotation.out
 	if t.pendingCall != 0 || e.refusesRequests() || t.registered && !touch && !outdated {
 		return
 	}
@@ -478,6 +486,7 @@
 		Era:      e.eras().own,
 		PeersEra: e.eras().peers,
 		Clock:    e.births.clock(),
+		Out:      e.rotation.out,
 	})
 	if err != nil {
 		panic(err) // The row contains only values that JSON can encode.
@@ -485,6 +494,7 @@
 	e.callSeq++
 	t.pendingCall = e.callSeq
 	t.pendingEras = e.eras()
+	e.rotation.pendingOut = e.rotation.out
 	e.births.pending = e.births.clock().Known()
 	e.versions.pending = e.versions.row
 	e.crashes.pendingRow = e.crashes.row
@@ -513,6 +523,7 @@
 		return
 	}
 	t.written = t.pendingEras
+	e.rotation.writtenOut = e.rotation.pendingOut
 	e.births.written = e.births.pending
 	e.versions.written = e.versions.pending
 	e.crashes.writtenRow = e.crashes.pendingRow
--- a/core/edge/rotation_test.go
+++ b/core/edge/rotation_test.go
@@ -181,3 +181,32 @@
 		t.Error("a router left the rotation, and no other has a faster link")
 	}
 }
+
+// TestRotationEnds guards against a router that stays out of rotation for good after one
+// overload.
+func TestRotationEnds(t *testing.T) {
+	m := newLimitModel(t, 1, 8, 4, func(m *limitModel) {
+		m.linkMbps = func(i int) int {
+			if i < 3 {
+				return fastMbps
+			}
+			return slowMbps
+		}
+	})
+	for range 20 {
+		m.feed(4, LinkAsked{Part: 2})
+		m.run(limitTick)
+	}
+	if m.routers[4].edge.Ready() {
+		t.Fatal("the router is in rotation while its link is overloaded")
+	}
+	m.feed(4, LinkAsked{})
+	m.run(rotationHold - 10*time.Second)
+	if m.routers[4].edge.Ready() {
+		t.Error("the router is back too early")
+	}
+	m.run(20 * time.Second)
+	if !m.routers[4].edge.Ready() {
+		t.Error("the router does not come back")
+	}
+}
