--- a/core/edge/address.go
+++ b/core/edge/address.go
@@ -38,7 +38,7 @@
 // routers that are reachable and not leaving. Routers whose list of endpoints is too
 // old, routers with slow links and routers that are much busier than the others are
 // omitted while enough others remain: a few large callers keep using the routers that they know until these
-// are no longer listed.
+// are no longer listed. Callers that the platform places take no account of this; see rotation.
 func (e *Edge) Addresses(now time.Time) ([]netip.AddrPort, time.Duration) {
 	return e.selectAddresses(now), e.bounds.AddressTTL
 }
