--- a/core/edge/edge.go
+++ b/core/edge/edge.go
@@ -335,8 +335,8 @@
 		e.stepComponents(ev)
 	case Dialed:
 		e.handleDialed(ev)
-	case LinkAsked:
-		e.handleLinkAsked(ev)
+	case CallerLoad:
+		e.handleCallerLoad(ev)
 	case TunnelProbed:
 		e.handleTunnelProbed(ev)
 	case effect.Tick:
--- a/core/edge/overload.go
+++ b/core/edge/overload.go
@@ -12,39 +12,48 @@
 	// the answers and the updates of the store, which share the link with it.
 	overloadedPart = 0.8
 
-	// overloadTime is how long callers must ask for that much. A burst of bodies passes in
-	// less.
+	// loadedPart is the part from which callers count as the cause if events wait
+	// overloadedWait for a decision, as the processor is too slow for them.
+	loadedPart     = 0.3
+	overloadedWait = 100 * time.Millisecond
+
+	// overloadTime is how long that must last. A burst of bodies passes in less.
 	overloadTime = 300 * time.Millisecond
 )
 
-// LinkAsked is the event of a new measurement of what callers ask of the VM's link.
-type LinkAsked struct {
+// CallerLoad is the event of a new measurement of what callers ask of the VM.
+type CallerLoad struct {
 	effect.IsEvent
 
-	// Part is what they ask for as a part of the link's speed, refused requests included;
-	// 0 if the speed is not known.
-	Part float64
+	// LinkPart is what they ask of the link as a part of its speed, refused requests
+	// included; 0 if the speed is not known.
+	LinkPart float64
+
+	// Wait is the longest time that an event has waited for a decision since the last
+	// measurement.
+	Wait time.Duration
 }
 
-// overload is the state of the VM's link by what callers ask for.
+// overload is the state of the VM by what callers ask for.
 type overload struct {
-	// part is that of the newest LinkAsked.
-	part float64
+	// load is the newest measurement.
+	load CallerLoad
 
-	// since is when part reached overloadedPart; zero while it is less. It counts as an
-	// overload after overloadTime, which logged shows.
+	// since is when the load became too much; zero while it is not. It counts as an overload
+	// after overloadTime, which logged shows.
 	since  time.Time
 	logged bool
 }
 
-// handleLinkAsked records what callers ask of the link and logs the begin and the end of an
+// handleCallerLoad records what callers ask of the VM and logs the begin and the end of an
 // overload.
-func (e *Edge) handleLinkAsked(ev LinkAsked) {
+func (e *Edge) handleCallerLoad(ev CallerLoad) {
 	o := &e.overload
-	o.part = ev.Part
-	if ev.Part < overloadedPart {
+	o.load = ev
+	switch {
+	case ev.LinkPart < overloadedPart && (ev.LinkPart < loadedPart || ev.Wait < overloadedWait):
 		o.since = time.Time{}
-	} else if o.since.IsZero() {
+	case o.since.IsZero():
 		o.since = e.now
 	}
 	if e.overloaded() == o.logged {
@@ -52,12 +61,12 @@
 	}
 	o.logged = !o.logged
 	account, requests := e.largestAccount()
-	e.log("link_overloaded", "", field("overloaded", o.logged), field("asked", o.part), field("link_mbps", e.info.LinkMbps),
+	e.log("overloaded", "", field("overloaded", o.logged), field("asked", o.load.LinkPart), field("wait", o.load.Wait), field("link_mbps", e.info.LinkMbps),
 		field("account", account), field("of_account", requests), field("requests", len(e.requests)))
 }
 
-// overloaded reports whether callers have asked for more than the link carries in time for
-// overloadTime.
+// overloaded reports whether callers have asked for more than the link or the processor does in
+// time for overloadTime.
 func (e *Edge) overloaded() bool {
 	since := e.overload.since
 	return !since.IsZero() && e.now.Sub(since) >= overloadTime
--- a/core/edge/overload_test.go
+++ b/core/edge/overload_test.go
@@ -17,8 +17,8 @@
 	var lines []LogEntry
 	step := func(part float64, d time.Duration) {
 		now = now.Add(d)
-		for _, a := range e.Step(now, LinkAsked{Part: part}) {
-			if l, ok := a.(LogEntry); ok && l.Event == "link_overloaded" {
+		for _, a := range e.Step(now, CallerLoad{LinkPart: part}) {
+			if l, ok := a.(LogEntry); ok && l.Event == "overloaded" {
 				lines = append(lines, l)
 			}
 		}
@@ -38,3 +38,24 @@
 		t.Errorf("want a line at the begin and one at the end: %v", lines)
 	}
 }
+
+// TestSlowProcessorOverload guards against callers that keep the processor of a VM busy while its link
+// has room: their requests arrive late, so less seems to be asked of the link.
+func TestSlowProcessorOverload(t *testing.T) {
+	for _, c := range []struct {
+		load CallerLoad
+		want bool
+	}{
+		{load: CallerLoad{LinkPart: loadedPart, Wait: overloadedWait}, want: true},
+		{load: CallerLoad{LinkPart: loadedPart, Wait: overloadedWait - 1}},
+		{load: CallerLoad{LinkPart: loadedPart / 2, Wait: time.Second}},
+	} {
+		now := time.Unix(1_800_000_000, 0)
+		e := New(waxwingwall.Incarnation{VM: "vm-1", Boot: 1}, RouterInfo{})
+		e.Step(now, c.load)
+		e.Step(now.Add(overloadTime), c.load)
+		if got := e.overloaded(); got != c.want {
+			t.Errorf("%+v: overloaded %v", c.load, got)
+		}
+	}
+}
--- a/core/edge/rotation.go
+++ b/core/edge/rotation.go
@@ -103,7 +103,7 @@
 // here. They ask for more than a slow link carries, so nothing is gained by waiting until it is full.
 func (e *Edge) hasMovedCallers() bool {
 	t := &e.rotation
-	if e.overload.part < movedPart {
+	if e.overload.load.LinkPart < movedPart {
 		t.movedSince = time.Time{}
 	} else if t.movedSince.IsZero() {
 		t.movedSince = e.now
@@ -159,7 +159,7 @@
 }
 
 func (e *Edge) logRotation(event, reason string, d domainReadiness) {
-	e.log(event, "", field("reason", reason), field("asked", e.overload.part), field("link_mbps", e.info.LinkMbps),
+	e.log(event, "", field("reason", reason), field("asked", e.overload.load.LinkPart), field("wait", e.overload.load.Wait), field("link_mbps", e.info.LinkMbps),
 		field("fastest_mbps", d.fastest), field("ready", d.ready), field("out", d.out), field("routers", d.routers))
 }
 
--- a/core/edge/rotation_test.go
+++ b/core/edge/rotation_test.go
@@ -62,7 +62,7 @@
 				part = stickyAsked * slowMbps / float64(m.link(i))
 			}
 			if !r.down {
-				m.feed(i, LinkAsked{Part: part})
+				m.feed(i, CallerLoad{LinkPart: part})
 			}
 		}
 		m.after(limitTick, measure)
@@ -148,7 +148,7 @@
 		})
 		for range 100 {
 			for i := range m.routers {
-				m.feed(i, LinkAsked{Part: 2})
+				m.feed(i, CallerLoad{LinkPart: 2})
 			}
 			m.run(limitTick)
 		}
@@ -174,7 +174,7 @@
 		m.linkMbps = func(int) int { return slowMbps }
 	})
 	for range 20 {
-		m.feed(1, LinkAsked{Part: 2})
+		m.feed(1, CallerLoad{LinkPart: 2})
 		m.run(limitTick)
 	}
 	if !m.routers[1].edge.Ready() {
@@ -194,13 +194,13 @@
 		}
 	})
 	for range 20 {
-		m.feed(4, LinkAsked{Part: 2})
+		m.feed(4, CallerLoad{LinkPart: 2})
 		m.run(limitTick)
 	}
 	if m.routers[4].edge.Ready() {
 		t.Fatal("the router is in rotation while its link is overloaded")
 	}
-	m.feed(4, LinkAsked{})
+	m.feed(4, CallerLoad{})
 	m.run(rotationHold - 10*time.Second)
 	if m.routers[4].edge.Ready() {
 		t.Error("the router is back too early")
--- a/relay/control.go
+++ b/relay/control.go
@@ -35,11 +35,13 @@
 		case j := <-r.inbox:
 			r.runUpdates()
 			r.runJob(j)
-		case <-ticker.C:
+		case tick := <-ticker.C:
 			now := time.Now()
-			r.step(now, edge.LinkAsked{
-				Part: r.link.asked(),
+			r.step(now, edge.CallerLoad{
+				LinkPart: r.link.asked(),
+				Wait:     max(r.longestWait, now.Sub(tick)),
 			})
+			r.longestWait = 0
 			r.step(now, effect.Tick{})
 			r.publish(now)
 		case <-sweeper.C:
@@ -63,7 +65,9 @@
 // runJob runs a job that was queued.
 func (r *Relay) runJob(j job) {
 	now := time.Now()
-	r.metrics.jobStarted(now.Sub(j.postedAt))
+	wait := now.Sub(j.postedAt)
+	r.longestWait = max(r.longestWait, wait)
+	r.metrics.jobStarted(wait)
 	if j.call != nil {
 		j.call(now)
 		return
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,7 +112,10 @@
 	dial    tcp.Dial
 	tunnels *tunnel.Server
 
-	// edge, sampler, self and requests are owned by the control goroutine.
+	// longestWait is the longest time that a job waited in a queue since the last tick. It, edge,
+	// sampler, self and requests are owned by the control goroutine.
+	longestWait time.Duration
+
 	edge     *edge.Edge
 	sampler  logline.Sampler
 	self     waxwingwall.Incarnation
