--- a/core/edge/overload.go
+++ b/core/edge/overload.go
@@ -43,6 +43,9 @@
 	// after overloadTime, which logged shows.
 	since  time.Time
 	logged bool
+
+	// movedSince is since when callers have asked for movedPart of the link; zero if for less.
+	movedSince time.Time
 }
 
 // handleCallerLoad records what callers ask of the VM and logs the begin and the end of an
@@ -56,6 +59,12 @@
 	case o.since.IsZero():
 		o.since = e.now
 	}
+	switch {
+	case ev.LinkPart < movedPart:
+		o.movedSince = time.Time{}
+	case o.movedSince.IsZero():
+		o.movedSince = e.now
+	}
 	if e.overloaded() == o.logged {
 		return
 	}
--- a/core/edge/rotation.go
+++ b/core/edge/rotation.go
@@ -41,9 +41,8 @@
 	out              bool
 	until, stayUntil time.Time
 
-	// movedSince is since when callers have asked for movedPart of the link; zero if for less.
 	// peerLeftAt is when a router of the failure domain was last seen to leave.
-	movedSince, peerLeftAt time.Time
+	peerLeftAt time.Time
 
 	// reviewedAt is when the router last reviewed whether it may stay out.
 	reviewedAt time.Time
@@ -81,7 +80,13 @@
 		e.reviewRotation()
 		return
 	}
-	if !e.overloaded() && !e.hasMovedCallers() {
+	var reason string
+	switch {
+	case e.overloaded():
+		reason = "overload"
+	case e.hasMovedCallers():
+		reason = "moved_callers"
+	default:
 		t.keptLogged = false
 		return
 	}
@@ -95,21 +100,15 @@
 	case d.out >= d.mayBeOut():
 		e.keepInRotation("few_ready", d)
 	default:
-		e.leaveRotation("overload", d)
+		e.leaveRotation(reason, d)
 	}
 }
 
 // hasMovedCallers reports whether the callers of a router that has just left seem to be placed
 // here. They ask for more than a slow link carries, so nothing is gained by waiting until it is full.
 func (e *Edge) hasMovedCallers() bool {
-	t := &e.rotation
-	if e.overload.load.LinkPart < movedPart {
-		t.movedSince = time.Time{}
-	} else if t.movedSince.IsZero() {
-		t.movedSince = e.now
-	}
-	return !t.movedSince.IsZero() && e.now.Sub(t.movedSince) >= movedTime &&
-		!t.peerLeftAt.IsZero() && e.now.Sub(t.peerLeftAt) < searchTime
+	since, left := e.overload.movedSince, e.rotation.peerLeftAt
+	return !since.IsZero() && e.now.Sub(since) >= movedTime && !left.IsZero() && e.now.Sub(left) < searchTime
 }
 
 // reviewRotation lets the router return after its time, or if too few are ready: several may
