--- a/core/edge/overload.go
+++ b/core/edge/overload.go
@@ -17,6 +17,10 @@
 	loadedPart     = 0.3
 	overloadedWait = 100 * time.Millisecond
 
+	// waitRetention is how long such a wait counts: a VM that may use a part of a processor stands still
+	// and runs by turns, and nothing waits for long while it runs.
+	waitRetention = 600 * time.Millisecond
+
 	// overloadTime is how long that must last. A burst of bodies passes in less.
 	overloadTime = 300 * time.Millisecond
 )
@@ -30,7 +34,7 @@
 	LinkPart float64
 
 	// Wait is the longest time that an event has waited for a decision since the last
-	// measurement.
+	// measurement, or by which this one is late.
 	Wait time.Duration
 }
 
@@ -39,6 +43,9 @@
 	// load is the newest measurement.
 	load CallerLoad
 
+	// waitedAt is when an event had last waited overloadedWait.
+	waitedAt time.Time
+
 	// since is when the load became too much; zero while it is not. It counts as an overload
 	// after overloadTime, which logged shows.
 	since  time.Time
@@ -53,8 +60,12 @@
 func (e *Edge) handleCallerLoad(ev CallerLoad) {
 	o := &e.overload
 	o.load = ev
+	if ev.Wait >= overloadedWait {
+		o.waitedAt = e.now
+	}
+	waits := !o.waitedAt.IsZero() && e.now.Sub(o.waitedAt) < waitRetention
 	switch {
-	case ev.LinkPart < overloadedPart && (ev.LinkPart < loadedPart || ev.Wait < overloadedWait):
+	case ev.LinkPart < overloadedPart && (ev.LinkPart < loadedPart || !waits):
 		o.since = time.Time{}
 	case o.since.IsZero():
 		o.since = e.now
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -34,8 +34,9 @@
 	// maxRetryAfter limits how long refused callers are asked to wait.
 	maxRetryAfter = 2 * time.Second
 
-	// askedTime is the time constant of Limiter.Asked.
-	askedTime = 300 * time.Millisecond
+	// askedTime is the time constant of Limiter.Asked. It outlasts the gaps in which the VM's
+	// processor is not to be had.
+	askedTime = 600 * time.Millisecond
 
 	// bytesPerMegabit converts the speed of a link.
 	bytesPerMegabit = 1e6 / 8
--- a/relay/control.go
+++ b/relay/control.go
@@ -26,6 +26,7 @@
 	defer ticker.Stop()
 	sweeper := time.NewTicker(sweepInterval)
 	defer sweeper.Stop()
+	lastTick := time.Now()
 	for {
 		select {
 		case <-r.ctx.Done():
@@ -35,12 +36,13 @@
 		case j := <-r.inbox:
 			r.runUpdates()
 			r.runJob(j)
-		case tick := <-ticker.C:
+		case <-ticker.C:
 			now := time.Now()
 			r.step(now, edge.CallerLoad{
 				LinkPart: r.link.asked(),
-				Wait:     max(r.longestWait, now.Sub(tick)),
+				Wait:     max(r.longestWait, now.Sub(lastTick)-tickInterval),
 			})
+			lastTick = now
 			r.longestWait = 0
 			r.step(now, effect.Tick{})
 			r.publish(now)
