--- a/relay/callerlog.go
+++ b/relay/callerlog.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,20 +49,10 @@
 func (r *Relay) logLookup(caller netip.Addr, listed []netip.AddrPort) {
 	r.logCaller("addresses_answered", caller, map[string]any{
 		"listed": len(listed),
-		"self":   r.lists(listed),
+		"self":   slices.Contains(listed, r.settings.Callers),
 	})
 }
 
-// lists reports whether a list of addresses has this router's.
-func (r *Relay) lists(listed []netip.AddrPort) bool {
-	for _, a := range listed {
-		if a == r.settings.Callers {
-			return true
-		}
-	}
-	return false
-}
-
 // logFirstRequest counts and logs the first request of a caller's connection: whether this router lists
 // itself to callers tells those that come by a list from those that are placed here.
 func (r *Relay) logFirstRequest(p *proxyRequest) {
@@ -69,7 +60,7 @@
 	if !ok || !r.callerConns.first(conn) {
 		return
 	}
-	self := r.lists(r.sharedState.Load().addresses)
+	self := slices.Contains(r.sharedState.Load().addresses, r.settings.Callers)
 	r.metrics.callerConns.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("listed", self)))
 	var caller netip.Addr
 	if from, err := netip.ParseAddrPort(p.r.RemoteAddr); err == nil {
